Let a cold server's own answers open its whole cold allowance

Faulty: _draw held a cold server to the slowest ramp that the settings allow, whatever it had shown since.

Design: each server has a figure that starts at the slowest start allowed and moves toward its own answers and failures as x_i does, so one quick answer proves little. What it proves may raise the ramp from the planned part of the allowance to the whole of it, fall-multiple times the guaranteed ramp, and never beyond.

--- a/shuntlead/logic.py
+++ b/shuntlead/logic.py
@@ -57,7 +57,7 @@
 
 class Endpoint:
     __slots__ = ("row", "id", "zone", "kind", "weight", "ready", "out", "slow", "slow_at", "by_class",
-                 "queue", "queue_at", "since", "warm_at", "ramp")  # fmt: skip
+                 "queue", "queue_at", "since", "warm_at", "ramp", "proof")  # fmt: skip
 
     def __init__(self, row: api.Listed, settings: api.Settings) -> None:
         self.out: dict[tuple[int, int], Attempt] = {}  # by request and number
@@ -67,6 +67,8 @@
         self.slow_at = self.queue_at = self.since = 0  # since: own sends since the last report
         self.warm_at = row.started_ns + settings.cold_ns if row.started_ns else 0
         self.ramp = 1.0  # part of its capacity that it is sure to have, while it is cold
+        # What its own answers prove: as x_i, from the slowest start there may be. One proves little.
+        self.proof = 1 / settings.start_capacity if settings.start_capacity > 0 else MAX_SLOWDOWN
         self.update(row)
 
     def update(self, row: api.Listed) -> None:
@@ -215,9 +217,11 @@
         odds, cold = [], False
         for e in candidates:
             w = (self._load(e) + 1) * self._slowdown(e, req.event.cls)
-            if self.now < e.warm_at:  # the slowest ramp that is guaranteed
+            if self.now < e.warm_at:  # the slowest ramp that is guaranteed, or what it has shown
                 age = max(0, self.now - e.row.started_ns)
                 e.ramp = s.start_capacity + (1 - s.start_capacity) * age / s.cold_ns
+                # Proof opens the whole allowance in place of the part planned for, and never more.
+                e.ramp = max(e.ramp, min(1.0, 1 / e.proof, e.ramp / COLD_SHARE))
                 w /= e.ramp
                 cold = True
             if e.zone != s.zone and not req.far:
@@ -493,6 +497,7 @@
             return  # given up early: says nothing
         own = self._slowdown(e, req.event.cls)
         alpha = ALPHA if event.status is Status.OK else FAIL_ALPHA
+        e.proof += alpha * (sample - e.proof)
         e.by_class[req.event.cls] = own + alpha * (sample - own), self.now
         self._learn(e, before + ALPHA * (sample - before), self.now)
         self._tell_peer()
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -14,7 +14,7 @@
 
 from shuntlead import interface as api
 from shuntlead.interface import EndpointState, RosterForm, Status
-from shuntlead.logic import Balancer, Pending
+from shuntlead.logic import COLD_SHARE, Balancer, Pending
 from tests.support import MS, SECOND, Sidecar, finals, listed, quiet, sends, settings, timers
 
 MODULE = Path(__file__).parent.parent / "shuntlead/logic.py"
@@ -507,6 +507,30 @@
     assert share(chosen, 2) < 0.45
 
 
+def cold_ramp(answers: int, latency_ns: int, status: Status = Status.OK) -> float:
+    """What endpoint 2 is held able to bear, started a moment ago, after so many answers of its own."""
+    car = Sidecar([listed(1), listed(2)])
+    car.serve(100)
+    car.roster([listed(2, started_ns=car.now)])
+    while answers:
+        for send in sends(car.request()):
+            if send.endpoint == 2:
+                car.outcome(send, status, latency_ns=latency_ns, finished=True)
+                answers -= 1
+            else:
+                car.outcome(send)
+    car.request()
+    return car.balancer.endpoints[2].ramp
+
+
+def test_a_cold_endpoints_own_answers_open_its_whole_allowance_and_no_more() -> None:
+    """Danger: most of a fleet just replaced answered well within time and stood idle beside full queues."""
+    assert cold_ramp(12, 50 * MS) == pytest.approx(0.25 / COLD_SHARE, rel=0.02)
+    assert cold_ramp(12, 400 * MS) == pytest.approx(0.25, rel=0.02)  # as slow as was to be feared
+    assert cold_ramp(12, 5 * MS, Status.ERROR) == pytest.approx(0.25, rel=0.02)  # proves nothing
+    assert cold_ramp(1, 5 * MS) < 0.36  # one quick answer may be a light request
+
+
 def test_what_is_sent_and_not_answered_does_not_raise_the_cold_budget() -> None:
     """Danger: where far more is sent than can be done, a part of it is more than a cold one can take."""
     shares = []
