End within the longest deadline of the settings, and answer all that was taken

At fault: the constant; server.stop, which closed a connection after the answer at hand though more had been read behind it (`close = not keep_alive or stopping`), closed idle connections with a request unread in the kernel, and left half a request to the process's end, whose last byte may be on its way.

Fix: the time comes from the longest deadline; what comes after SIGTERM is due before the earliest kill (the longest deadline, counted as 3 s where it is longer, and 0.7 s). The driver answers 504 to what is open at the end, half a request gets 503, and a connection is closed only once nothing read on it is unanswered.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -14,10 +14,12 @@
 from anisespool.endpoints import Endpoints
 from anisespool.server import Server
 from anisespool.sidecar import Sidecar
-from shuntlead.interface import RosterForm
+from shuntlead.interface import RosterForm, Settings
 
 ACCEPT_S = 0.5  # after SIGTERM: new connections go on coming for up to 0.4 s
-LAST_S = 4.0  # then nothing taken can still be in time
+# After SIGTERM the platform may kill once the longest deadline is over, which it counts as 3 s where it is
+# longer, and 0.7 s more.
+KILL_COUNTS_S, KILL_AFTER_S, KILL_RESERVE_S = 3.0, 0.7, 0.1
 COLLECT = (10_000, 20, 20)  # cycles are rare here: parsers let go of themselves
 SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
 CLIENTS_SHARE = 0.6  # of the others: many at rest beside those busy, of which each needs one to an endpoint
@@ -59,15 +61,18 @@
     gc.freeze()  # what start-up made stays for good: no collection need look at it
     gc.set_threshold(*COLLECT)
     await signals.stop.wait()
-    try:
-        async with asyncio.timeout(LAST_S):
-            await server.stop(ACCEPT_S)
-    except TimeoutError:
-        print("server: ended with connections still in use", file=sys.stderr)
+    await server.stop(ACCEPT_S, *_ending(settings))
     for task in tasks:
         task.cancel()
 
 
+def _ending(settings: Settings) -> tuple[float, float]:
+    """How long after SIGTERM the last answers are due: to what comes from then on, and to all."""
+    within_s = max(ACCEPT_S + KILL_RESERVE_S, max(c.deadline_ns for c in settings.classes) / 1e9)
+    killed_s = min(within_s, KILL_COUNTS_S) + KILL_AFTER_S
+    return min(within_s, killed_s - KILL_RESERVE_S), within_s
+
+
 async def _reload(path: str, watch: Watch, asked: asyncio.Event) -> None:
     """New configurations: of what the file says only discovery's address can change under way."""
     while True:
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -22,7 +22,9 @@
 
 BACKLOG = 512
 MOST_PIPELINED = 8  # requests read ahead on one connection
-HALF_WRITTEN_S = 1.0  # after the listener has closed
+HALF_WRITTEN_S = 1.0  # after the listener has closed, and no longer
+STOP_LOOK_S = 0.01  # at the end: between two looks at what is still open
+FLUSH_S = 0.05  # at the very end: for the last answers to leave
 ACCEPT_PAUSE_S = 0.05  # with no descriptor left
 READ_NS = 1_000_000  # a request that waited no longer has not waited
 LINGER_S = 1.0  # to let a client read why it was cut off
@@ -36,6 +38,7 @@
 LOOK = 16  # at so many, to find one that may go
 ACCEPTED_AT_ONCE = 8
 LONGEST_WAIT_MS = 3_600_000
+NEVER_NS = 2**63
 
 
 PLAIN = re.compile(rb"[!-~]{1,200}")  # nothing else goes into an endpoint's head
@@ -193,8 +196,10 @@
         except BadCall as error:
             self._reject(Answer(error.status, f"{error}\n".encode()))
             return
-        waited_ns = time.monotonic_ns() - came_ns  # behind others that the client sent ahead of it
-        call = call._replace(left_ns=max(0, call.left_ns - waited_ns)) if waited_ns > READ_NS else call
+        now = time.monotonic_ns()
+        waited_ns = now - came_ns  # behind others that the client sent ahead of it
+        left_ns = call.left_ns - (waited_ns if waited_ns > READ_NS else 0)
+        call = call._replace(left_ns=max(0, min(left_ns, self._server.last_ns - now)))
         current = self._server.sidecar.take(call, self._answer_and_go_on)
         if self._busy:
             self._current = current
@@ -223,7 +228,8 @@
         self._release_trace_id()
         if self._closing or not self._transport:
             return
-        close = not self._keep_alive or self._server.stopping
+        # Danger: what was read behind it is taken too, and is still owed its answer.
+        close = not self._keep_alive or self._server.stopping and not self._queue
         self._transport.write(http1.encode_response(*answer, close))
         if close:
             self._closing = True
@@ -274,10 +280,18 @@
             self._transport.abort()
 
     def close_if_idle(self) -> None:
-        if self.idle and self._transport:
+        """Danger: a request may wait in the kernel, and would be lost with its connection."""
+        if self.idle and self._transport and not self.unread:
             self._closing = True
             self._transport.close()
 
+    def leave(self, late: bool) -> None:
+        """The program ends. `late`: what has not asked by now, or not to the end, is waited for no longer."""
+        if self.idle and (self.served or late):
+            self.close_if_idle()
+        elif late and self._parser.partial and not self.owed:
+            self._reject(Answer(HTTPStatus.SERVICE_UNAVAILABLE))
+
 
 class Server:
     """The listener. It accepts by itself, so that nothing queued is reset when it closes."""
@@ -285,6 +299,7 @@
     def __init__(self, sidecar: Sidecar, names: Names, settings: Settings, most: int) -> None:
         self.sidecar, self.names, self.settings = sidecar, names, settings
         self.stopping = False
+        self.last_ns = NEVER_NS  # by then every request has to be answered
         self.open_ids: set[bytes] = set()  # trace ids of the requests being worked on
         self._working: set[ClientConnection] = set()
         # With no request open, in the order in which they fell quiet: new ones, and those served before.
@@ -404,13 +419,17 @@
             for connection in [*self._unproven, *self._kept]:
                 connection.expire(now)
 
-    async def stop(self, accept_s: float) -> None:
-        """A planned restart: go on accepting for a while, then answer what was taken, and end."""
-        self.stopping = True
+    async def stop(self, accept_s: float, new_s: float, within_s: float) -> None:
+        """A planned restart: go on accepting for a while, answer what was taken, and end `within_s`. What
+        comes from now on gets its answer `new_s` from now at the latest."""
+        loop = asyncio.get_running_loop()
+        end = loop.time() + within_s
+        loop.call_at(end, self.sidecar.answer_all)
+        self.stopping, self.last_ns = True, time.monotonic_ns() + int(new_s * 1e9)
         # Clients use a connection for as long as it is open: closed now, they still find the listener.
-        self._close_idle()
+        for connection in self.connections:
+            connection.close_if_idle()
         await asyncio.sleep(accept_s)
-        loop = asyncio.get_running_loop()
         if self._listener:
             loop.remove_reader(self._listener)
             self._accept_all()  # Danger: closing resets what still waits in the listener's queue
@@ -418,14 +437,9 @@
             self._listener = None
         if self._accepting:
             await asyncio.wait(self._accepting)
-        # A request may be on its way in on any of those; a half-written one gets no longer than this.
-        half_written = loop.time() + HALF_WRITTEN_S
-        await asyncio.sleep(0.02)
-        while any(c.owed or not c.idle and loop.time() < half_written for c in self.connections):
-            await asyncio.sleep(0.01)
-        self._close_idle()
-        await asyncio.sleep(0)
-
-    def _close_idle(self) -> None:
-        for connection in list(self.connections):
-            connection.close_if_idle()
+        # A request may be on its way in on any of those.
+        half_written = min(loop.time() + HALF_WRITTEN_S, end - FLUSH_S)
+        while self.connections and loop.time() < end + FLUSH_S:
+            for connection in self.connections:
+                connection.leave(late=loop.time() >= half_written)
+            await asyncio.sleep(STOP_LOOK_S)
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -267,9 +267,18 @@
         exchange = self._exchanges.get(request_id)
         if exchange and exchange.reply:
             print("driver: a request was answered 504, as the module did not end it", file=sys.stderr)
-            self._answer(exchange, Answer(504, b"no answer in time\n"))
-            self._handle(api.ClientGone(request_id))
-            self._abandon(request_id, exchange)
+            self._cut_short(request_id, exchange, b"no answer in time\n")
+
+    def answer_all(self) -> None:
+        """The program ends: what is still open is answered now, or it would be lost."""
+        for request_id, exchange in list(self._exchanges.items()):
+            if exchange.reply:
+                self._cut_short(request_id, exchange, b"restarting\n")
+
+    def _cut_short(self, request_id: int, exchange: _Exchange, why: bytes) -> None:
+        self._answer(exchange, Answer(504, why))
+        self._handle(api.ClientGone(request_id))
+        self._abandon(request_id, exchange)
 
     def _give_up(self, request_id: int) -> None:
         exchange = self._exchanges.get(request_id)
