Write nothing for a client that has left or a time that is over

Seen: reading, then forced on real connections. Three orders sent on a request that nobody waited for: request and FIN together in the kernel (the request is read first and was written before the loop came to the FIN); the client leaving or the time ending while a connection comes up or before a further attempt, with the loop behind; and a client with more than 8 requests ahead, for which reading pauses, so that its end was not seen until its attempt timed out.

At fault: Endpoints._start wrote without asking, with max(1, left) where nothing was left; ClientConnection paused reading and looked at nothing else.

Fix: _start is the one place that writes. It asks the clock and the exchange, which asks the client's socket; the attempt ends MOOT, as never sent.

--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -25,12 +25,13 @@
     """One try of a request at one endpoint, from the Send until its one status."""
 
     __slots__ = ("_timer", "connection", "deadline_ns", "endpoint", "load", "number", "on_end", "request",
-                 "request_id", "response", "started_ns", "status")  # fmt: skip
+                 "request_id", "response", "started_ns", "status", "wanted")  # fmt: skip
 
     def __init__(self, request_id: int, number: int, endpoint: int, request: http1.Request, deadline_ns: int,
-                 on_end: Callable[[Attempt], None]) -> None:  # fmt: skip
+                 on_end: Callable[[Attempt], None],
+                 wanted: Callable[[], bool] = lambda: True) -> None:  # fmt: skip
         self.request_id, self.number, self.endpoint = request_id, number, endpoint
-        self.request, self.deadline_ns, self.on_end = request, deadline_ns, on_end
+        self.request, self.deadline_ns, self.on_end, self.wanted = request, deadline_ns, on_end, wanted
         self.started_ns = time.monotonic_ns()
         self.status: Status | None = None
         self.response: http1.Response | None = None
@@ -298,7 +299,14 @@
             self._start(connection, pool, attempt)
 
     def _start(self, connection: Connection, pool: Pool, attempt: Attempt) -> None:
-        left_ms = max(1, (attempt.deadline_ns - time.monotonic_ns()) // 1_000_000)
+        """The one place that writes. Danger: in a loop that is behind, the time may be up before its timer
+        runs, and the client gone with its end unread. Nobody would wait for this answer."""
+        left_ns = attempt.deadline_ns - time.monotonic_ns()
+        if left_ns <= 0 or not attempt.wanted():
+            self.release(connection, pool)
+            attempt.end(Status.MOOT)
+            return
+        left_ms = max(1, left_ns // 1_000_000)
         given = attempt.request.headers
         headers = {name: given[key] for key, name in FORWARDED.items() if key in given}
         headers[b"X-Expires-In-Ms"] = b"%d" % left_ms
--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -39,6 +39,7 @@
 ACCEPTED_AT_ONCE = 8
 LONGEST_WAIT_MS = 3_600_000
 NEVER_NS = 2**63
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 
 
 PLAIN = re.compile(rb"[!-~]{1,200}")  # nothing else goes into an endpoint's head
@@ -110,6 +111,7 @@
         self._parser = http1.RequestParser()
         self._queue: deque[tuple[http1.Request, int]] = deque()  # with when it came
         self._transport: asyncio.Transport | None = None
+        self._poll = select.poll()
         self._busy = self._closing = False
         self._keep_alive = True
         self._current = 0  # the driver's id of the request being worked on
@@ -130,6 +132,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | GONE)
         self._server.arrive(self)
 
     def data_received(self, data: bytes) -> None:
@@ -200,7 +203,7 @@
         waited_ns = now - came_ns  # behind others that the client sent ahead of it
         left_ns = call.left_ns - (waited_ns if waited_ns > READ_NS else 0)
         call = call._replace(left_ns=max(0, min(left_ns, self._server.last_ns - now)))
-        current = self._server.sidecar.take(call, self._answer_and_go_on)
+        current = self._server.sidecar.take(call, self._answer_and_go_on, self.left)
         if self._busy:
             self._current = current
 
@@ -247,6 +250,11 @@
             self._transport.write(http1.encode_response(*answer, True))
             self._transport.write_eof()
 
+    def look(self) -> None:
+        """Danger: while reading pauses the loop is not told of the client's end."""
+        if self._transport and not self._transport.is_reading() and self.left():
+            self.abort()
+
     def expire(self, now: float) -> None:
         """No request is open here. Danger: what says nothing, stops halfway or goes on sending after its
         error would hold a descriptor for ever."""
@@ -268,11 +276,17 @@
     @property
     def unread(self) -> bool:
         """Something waits in the kernel to be read."""
+        return bool(self._state())
+
+    def left(self) -> bool:
+        """The client has gone. Danger: while reading pauses, and in a loop that is behind, its end waits in
+        the kernel, maybe behind more requests, and what it asked would still be sent on."""
+        return self._closing or bool(self._state() & GONE)
+
+    def _state(self) -> int:
         if not self._transport or self._transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self._transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+            return 0
+        return sum(flags for _, flags in self._poll.poll(0))
 
     def abort(self) -> None:
         self._closing = True
@@ -418,6 +432,8 @@
             now = time.monotonic()
             for connection in [*self._unproven, *self._kept]:
                 connection.expire(now)
+            for connection in list(self._working):
+                connection.look()
 
     async def stop(self, accept_s: float, new_s: float, within_s: float) -> None:
         """A planned restart: go on accepting for a while, answer what was taken, and end `within_s`. What
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -47,10 +47,12 @@
 class _Exchange:
     """A request from its arrival until its last attempt has ended."""
 
-    __slots__ = ("attempts", "backstop", "call", "deadline_ns", "reply")
+    __slots__ = ("attempts", "backstop", "call", "deadline_ns", "left", "reply")
 
-    def __init__(self, call: Call, deadline_ns: int, reply: Callable[[Answer], None]) -> None:
-        self.call, self.deadline_ns = call, deadline_ns
+    def __init__(
+        self, call: Call, deadline_ns: int, reply: Callable[[Answer], None], left: Callable[[], bool]
+    ) -> None:
+        self.call, self.deadline_ns, self.left = call, deadline_ns, left
         self.reply: Callable[[Answer], None] | None = reply  # None: answered, or nobody waits
         self.attempts: list[Attempt] = []
         self.backstop: asyncio.TimerHandle | None = None
@@ -79,12 +81,15 @@
 
     # From the application -------------------------------------------------------------------------
 
-    def take(self, call: Call, reply: Callable[[Answer], None]) -> int:
-        """A request has come; `reply` is called once, maybe before this returns."""
+    def take(
+        self, call: Call, reply: Callable[[Answer], None], left: Callable[[], bool] = lambda: False
+    ) -> int:
+        """A request has come; `reply` is called once, maybe before this returns. `left` tells whether its
+        client has gone, which may be known before `client_gone` is called."""
         self._next_request += 1
         request_id, now = self._next_request, time.monotonic_ns()
         left_ns = max(0, call.left_ns - ANSWER_RESERVE_NS)
-        exchange = self._exchanges[request_id] = _Exchange(call, now + left_ns, reply)
+        exchange = self._exchanges[request_id] = _Exchange(call, now + left_ns, reply, left)
         loop = asyncio.get_running_loop()
         last = now + max(0, call.left_ns - BACKSTOP_NS)
         exchange.backstop = loop.call_at(last / 1e9, self._overdue, request_id)
@@ -196,10 +201,16 @@
             exchange.call.request,
             deadline,
             self._ended,
+            lambda: self._wanted(exchange),
         )
         exchange.attempts.append(attempt)
         self._endpoints.send(attempt)
 
+    def _wanted(self, exchange: _Exchange) -> bool:
+        if exchange.reply and exchange.left():
+            self._close(exchange)
+        return exchange.reply is not None
+
     def _ended(self, attempt: Attempt) -> None:
         exchange, status = self._exchanges[attempt.request_id], attempt.status
         assert status is not None
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -254,8 +254,10 @@
         self.sidecar, self.module = sidecar, module
         self.answers: list[Answer] = []
 
-    def take(self, cls: int = 2, left_ns: int = SECOND) -> int:
-        return self.sidecar.take(Call(GET, cls, 0, left_ns, None, 0, False), self.answers.append)
+    def take(
+        self, cls: int = 2, left_ns: int = SECOND, left: Callable[[], bool] = lambda: False
+    ) -> int:
+        return self.sidecar.take(Call(GET, cls, 0, left_ns, None, 0, False), self.answers.append, left)
 
 
 @asynccontextmanager
