End a given-up attempt at its server before the next one is sent

Seen: reading, then forced with a peer outside the loop. Connection.discard called transport.abort(), and asyncio closes an aborted socket one turn of the loop later: on_end ran before that, the module placed the next attempt at once, and it was written to another server while the first connection was still open. Also, an answer that came before the request's last byte had left counted as the answer to it: 200 was served, 500 counted as "may have run".

Ruled out: a second copy of an answer read as the next one.

Fix: discard ends our sending at once, and the abort closes the rest; what comes before the request has left is CONNECT_FAILED unless it says that nothing ran.

Five of the six new cases fail without it.

--- a/anisespool/endpoints.py
+++ b/anisespool/endpoints.py
@@ -8,6 +8,7 @@
 import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
 
 from anisespool import http1
 from anisespool.config import Address
@@ -168,6 +169,9 @@
             status = Status.OK
         elif response.status in (503, 504) and response.headers.get(b"x-never-ran", b"").strip() == b"1":
             status = Status.FULL
+        if self.unwritten and status is not Status.FULL:
+            # Danger: a server starts with the last byte. What comes before it answers something else.
+            status = Status.CONNECT_FAILED
         reusable = response.keep_alive and not self.unwritten
         self._end(status, response, reusable)
 
@@ -191,7 +195,11 @@
         self._attempt = None
         self._drop_parser()
         self._owner.connections.discard(self)
-        if self._transport:
+        if self._transport and not self._transport.is_closing():
+            # Danger: the loop closes it a turn later. Until then the attempt would still be out, maybe beside
+            # the next one of its request.
+            with suppress(OSError):  # the other side may have broken it by now
+                self._transport.get_extra_info("socket").shutdown(socket.SHUT_WR)
             self._transport.abort()
 
     def _drop_parser(self) -> None:
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -391,3 +391,62 @@
         await asyncio.sleep(0.03)
         await driver.result()
         assert len(endpoint.connections) == 2
+
+
+def listening() -> socket.socket:
+    """A peer outside the loop: what it sees, it sees with no turn of the loop in between."""
+    sock = socket.socket()
+    sock.bind(("127.0.0.1", 0))
+    sock.listen()
+    sock.settimeout(1.0)
+    return sock
+
+
+@pytest.mark.parametrize("why", [Status.TIMEOUT, Status.CANCELLED, Status.RESET])
+@limited
+async def test_an_attempt_has_ended_at_its_server_before_the_next_can_be_sent(why: Status) -> None:
+    """Its connection still open, the next would be a second attempt out."""
+    seen: list[bytes] = []
+
+    def ended(attempt: Attempt) -> None:
+        with suppress(TimeoutError):
+            seen.append(peer.recv(1000))
+
+    with listening() as listener:
+        driver = Driver(Address(*listener.getsockname()))
+        attempt = Attempt(1, 0, 1, GET, monotonic_ns() + 2 * SECOND, ended)
+        driver.endpoints.send(attempt)
+        await until(lambda: attempt.connection is not None)
+        peer, _ = listener.accept()
+        with peer:
+            peer.settimeout(0.3)
+            assert peer.recv(1000).startswith(b"GET /look/1")
+            if why is Status.RESET:
+                peer.sendall(b"no answer at all\r\n")
+                await until(lambda: attempt.status is not None)
+            else:
+                attempt.give_up(why)
+            assert attempt.status is why
+            assert seen == [b""]
+
+
+@pytest.mark.parametrize(
+    ("reply", "status"),
+    [
+        (OK, Status.CONNECT_FAILED),
+        (answer("500 Oops"), Status.CONNECT_FAILED),
+        (answer("503 Busy", "X-Never-Ran: 1\r\n"), Status.FULL),
+    ],
+)
+@limited
+async def test_what_comes_before_the_request_left_is_no_answer_to_it(reply: bytes, status: Status) -> None:
+    with listening() as listener:
+        driver = Driver(Address(*listener.getsockname()))
+        attempt = driver.send(Request(b"POST", b"/once/1", {}, b"x" * 30_000_000, True))
+        await until(lambda: attempt.connection is not None)
+        peer, _ = listener.accept()
+        with peer:
+            peer.sendall(reply)
+            await until(lambda: attempt.status is not None)
+    assert attempt.status is status
+    assert not driver.endpoints.connections
