Notice a silent discovery in 3 s, read laid out lists, wait for pushed ones at the start

A watch went silent at 0.1 s: "5.109 discovery: TimeoutError", asked again at 5.143, and the list came at 5.914, as the call queued; with 6 s and a grace that may be 0.6 s there was no room for one call turned away ("503 ... after 1.0 s" while discovery was down). The same 5 s stood against 4 s after SIGHUP. After failures the wait between calls grew to 2 s whatever the settings, though pushed lists count at once when discovery is back. A list laid out over lines was skipped line by line. A fresh process was ready on `known` before pushed changes could reach it. A fault in taking a list in was lost inside the parser, and the list with it, as the revision had moved on.

Checked: empty lines came each 2.000 s in all logs, so 3 s is one of them surely late. While discovery is down, calls for pushed lists are held and answered at the return (5.117 asked, 7.301 answered). The address named at SIGHUP knew the same revision in each log; what to make of a lower one stays as it was: what it tells is the list.

Fix: connect within 1 s, silence 3 s, waits bounded by half of the settings' grace (pushed) or call time (asked); objects are cut by their braces, and a list cut off hides none behind it; where lists are pushed, ready on the first answer, on nobody listening, or after 10 s; the revision moves on once a list is taken in.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from anisespool.config import Address, Config, ConfigError, discovery_in, load
-from anisespool.discovery import Watch
+from anisespool.discovery import FIRST_WAIT_S, Watch
 from anisespool.endpoints import Endpoints
 from anisespool.server import Server
 from anisespool.sidecar import Sidecar
@@ -20,6 +20,8 @@
 # After SIGTERM the platform may kill once the longest deadline is over, which it counts as 3 s where it is
 # longer, and 0.7 s more.
 KILL_COUNTS_S, KILL_AFTER_S, KILL_RESERVE_S = 3.0, 0.7, 0.1
+LIST_S = 10.0  # at the start, for a list newer than `known`, where lists are pushed; 30 s are allowed in all
+WAIT_SHARE = 0.5  # of the time in which news must be known
 COLLECT = (10_000, 20, 20)  # cycles are rare here: parsers let go of themselves
 SPARE_SOCKETS = 32  # descriptors for all but clients and endpoints, and for those on their way out
 CLIENTS_SHARE = 0.6  # of the others: many at rest beside those busy, of which each needs one to an endpoint
@@ -49,7 +51,10 @@
     )
     sidecar = Sidecar(config, endpoints)
     sidecar.listed(config.known, RosterForm.CACHED)
-    watch = Watch(config.discovery, config.names, config.known.revision, sidecar.listed)
+    loop.call_later(LIST_S, sidecar.go_by_known)
+    watch = Watch(
+        config.discovery, config.names, config.known.revision, sidecar.listed, sidecar.go_by_known,
+        _longest_wait(settings))  # fmt: skip
     tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
     tasks.append(loop.create_task(_reload(config.path, watch, signals.reload)))
     server = Server(sidecar, config.names, settings, most)
@@ -66,6 +71,13 @@
         task.cancel()
 
 
+def _longest_wait(settings: Settings) -> float:
+    """Between two calls to discovery. Where lists are pushed, all that it has counts as told when it is back;
+    where they are asked for, the settings say how long the last call is good for."""
+    bound_ns = settings.drain_grace_ns if settings.discovery == "push" else settings.ask_within_ns
+    return max(FIRST_WAIT_S, bound_ns / 1e9 * WAIT_SHARE)
+
+
 def _ending(settings: Settings) -> tuple[float, float]:
     """How long after SIGTERM the last answers are due: to what comes from then on, and to all."""
     within_s = max(ACCEPT_S + KILL_RESERVE_S, max(c.deadline_ns for c in settings.classes) / 1e9)
--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -5,28 +5,99 @@
 import asyncio
 import json
 import random
+import re
 import sys
 import traceback
 from collections.abc import Callable
+from typing import Any
 
 from anisespool import http1
 from anisespool.config import Address, MemberList, Names
 
-SILENCE_S = 5.0  # an empty line is due every 2 s: a cut-off peer says nothing, TCP does not notice
-FIRST_WAIT_S, LONGEST_WAIT_S = 0.05, 2.0  # news counts as told after 6 s
-MAX_LINE = 4 * 1024 * 1024
+# What a silent watch misses counts as told 6 s after its last word (4 s after a move), and a call may wait a
+# second to be turned away. So silence ends a watch once an empty line, due every 2 s, is surely late.
+SILENCE_S = 3.0
+CONNECT_S = 1.0  # TCP tries again after as long
+FIRST_WAIT_S, LONGEST_WAIT_S = 0.05, 2.0
+MAX_OBJECT = 4 * 1024 * 1024
+TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*"|[{}\[\]]')
+
+
+class Objects:
+    """Cuts what a watch brings into JSON objects: each on a line of its own, or laid out over several."""
+
+    def __init__(self) -> None:
+        self._rest = b""  # of a line
+        self._lines: list[bytes] = []  # of an object that goes on
+        self._depth = self._size = 0
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The objects that these bytes complete, and what can't be one."""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        done: list[bytes] = []
+        for line in lines:
+            if line.strip():  # an empty one only says that the watch is alive
+                self._add(line, done)
+        if self._size + len(self._rest) > MAX_OBJECT:
+            raise OSError("an object without end")
+        return done
+
+    def _add(self, line: bytes, done: list[bytes]) -> None:
+        if self._lines and line.startswith(b"{") and self._begins_anew(line):
+            self._end(done)
+        self._lines.append(line)
+        self._size += len(line)
+        for token in TOKEN.findall(line):
+            self._depth += (token in (b"{", b"[")) - (token in (b"}", b"]"))
+        if self._depth <= 0 or not self._lines[0].lstrip().startswith(b"{"):
+            self._end(done)
+
+    def _begins_anew(self, line: bytes) -> bool:
+        """Danger: a list that was cut off would swallow all that follow. A brace at the margin is the next
+        one's where it can't go on the lines before, by their layout or as JSON, or is a whole list."""
+        first, bare = self._lines[0].strip() == b"{", line.strip() == b"{"
+        indented = first and len(self._lines) > 1 and self._lines[1][:1].isspace()
+        return indented or bare and not first or not self._goes_on() or "members" in (_object(line) or ())
+
+    def _goes_on(self) -> bool:
+        text = b"\n".join([*self._lines, b"{"])
+        try:
+            json.loads(text)
+        except json.JSONDecodeError as error:
+            return error.pos >= len(error.doc)  # all that is wrong with it is that it ends
+        except (ValueError, RecursionError):
+            return False
+        return False
+
+    def _end(self, done: list[bytes]) -> None:
+        done.append(b"\n".join(self._lines))
+        self._lines, self._depth, self._size = [], 0, 0
+
+
+def _object(text: bytes) -> dict[str, Any] | None:
+    try:
+        value = json.loads(text)
+    except (ValueError, RecursionError):
+        return None
+    return value if isinstance(value, dict) else None
 
 
 class Watch:
     """Keeps the list up to date and hands each change on, in order."""
 
     def __init__(
-        self, address: Address, names: Names, revision: int, on_list: Callable[[MemberList], None]
+        self,
+        address: Address,
+        names: Names,
+        revision: int,
+        on_list: Callable[[MemberList], None],
+        on_word: Callable[[], None] = lambda: None,
+        longest_wait_s: float = LONGEST_WAIT_S,
     ) -> None:
-        self._address, self._names, self._on_list = address, names, on_list
+        self._address, self._names = address, names
+        self._on_list, self._on_word = on_list, on_word  # on_word: it has told all that it has for now
         self._revision = revision
-        self._buffer = b""
-        self._wait_s = FIRST_WAIT_S
+        self._wait_s, self._longest_wait_s = FIRST_WAIT_S, longest_wait_s
         self._turn: asyncio.Task[None] | None = None
 
     def move(self, address: Address) -> None:
@@ -50,19 +121,23 @@
     async def _watch_and_wait(self) -> None:
         try:
             await self._watch_once()
-        except (OSError, TimeoutError) as error:
+        except TimeoutError:
+            print("discovery: no word in time", file=sys.stderr)
+        except OSError as error:
             print(f"discovery: {type(error).__name__}: {error}", file=sys.stderr)
+            if isinstance(error, ConnectionRefusedError):  # nobody is there; one that is down holds its calls
+                self._on_word()
         except Exception:  # Danger: whatever it was, without a watch drains are missed for good
             traceback.print_exc()
         # Jittered: all sidecars lose discovery at the same moment.
-        wait_s, self._wait_s = self._wait_s, min(2 * self._wait_s, LONGEST_WAIT_S)
+        wait_s, self._wait_s = self._wait_s, min(2 * self._wait_s, self._longest_wait_s, LONGEST_WAIT_S)
         await asyncio.sleep(wait_s * random.uniform(0.5, 1.0))
 
     async def _watch_once(self) -> None:
-        self._buffer = b""
-        async with asyncio.timeout(SILENCE_S):
+        async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(*self._address)
-        parser = http1.ResponseParser(self._on_body)
+        body: list[bytes] = []
+        objects, parser = Objects(), http1.ResponseParser(body.append)
         try:
             target = b"/v1/servers?stream=1&index=%d" % self._revision
             request = http1.Request(b"GET", target, {}, b"", True)
@@ -71,30 +146,25 @@
                 async with asyncio.timeout(SILENCE_S):
                     data = await reader.read(65536)
                 if not data:
-                    return
+                    raise OSError("the watch has ended")
                 parser.feed(data)
+                if parser.status == 200:
+                    for text in objects.feed(b"".join(body)):
+                        self._on_object(text)
+                    self._on_word()
+                body.clear()
                 if parser.broken or parser.response or parser.status not in (0, 200):
-                    return
-                if len(self._buffer) > MAX_LINE:
-                    raise OSError("a line without end")
+                    raise OSError(f"the watch has ended, with status {parser.status}")
         finally:
             parser.close()
             writer.transport.abort()
 
-    def _on_body(self, data: bytes) -> None:
-        *lines, self._buffer = (self._buffer + data).split(b"\n")
-        if lines:
-            self._wait_s = FIRST_WAIT_S
-        for line in lines:
-            if line.strip():
-                self._on_line(line)
-
-    def _on_line(self, line: bytes) -> None:
+    def _on_object(self, text: bytes) -> None:
         try:
-            update = self._names.member_list(json.loads(line))
+            update = self._names.member_list(json.loads(text))
         except (ValueError, RecursionError) as error:
             # Danger: one line that nobody can read must not end the watch, nor hide those behind it.
             print(f"discovery: a line was skipped: {error}"[:300], file=sys.stderr)
             return
-        self._revision = update.revision
         self._on_list(update)
+        self._revision, self._wait_s = update.revision, FIRST_WAIT_S
--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -65,6 +65,8 @@
         self._exchanges: dict[int, _Exchange] = {}
         self._numbers: dict[str, int] = {}  # endpoint id -> its number; one that is gone never returns
         self._ready: set[int] = set()
+        # Danger: what pushed lists tell counts from a process's first moment, and `known` may be older.
+        self._told = config.settings.discovery != "push"
         self._next_request = self._next_number = 0
         self._events: deque[api.Event] = deque()
         self._handling = False
@@ -76,8 +78,8 @@
 
     @property
     def ready(self) -> bool:
-        """Requests can be served: discovery has named an endpoint."""
-        return bool(self._ready)
+        """Requests can be served: discovery has named an endpoint, and nothing newer is on its way."""
+        return self._told and bool(self._ready)
 
     # From the application -------------------------------------------------------------------------
 
@@ -119,6 +121,10 @@
         self._events.appendleft(api.Roster(update.revision, form, tuple(rows)))
         self._drain()
 
+    def go_by_known(self) -> None:
+        """Discovery has no more to tell for now: the list at hand is the best there is."""
+        self._told = True
+
     def _apply(self, update: MemberList, form: RosterForm) -> list[api.Listed]:
         if form is not RosterForm.DELTA:
             for absent in self._numbers.keys() - {member.id for member in update.members}:
