Name the key of every bad configuration in one plain line

Seen: every key of a configuration replaced by each of 16 bad values, 0 to 1e999, from null to an object: `limits` as anything but an object ended in "AttributeError: 'list' object has no attribute 'get'", limits.sockets and allowed.keepalive-ns as infinity in an OverflowError, no request class at all in "max() arg is an empty sequence" from the module, each with a traceback. keepalive-ns 0 kept the program from starting, though 0 stands for absent.

Ruled out: the other 100 keys, which all gave a ConfigError that names them or were taken.

Fix: config._number checks what it reads, Settings wants a class, and the line is cut at 300 characters.

The new test plays all keys and values and fails without it. Decisions are untouched.

--- a/anisespool/__main__.py
+++ b/anisespool/__main__.py
@@ -110,7 +110,7 @@
     try:
         asyncio.run(_until_signalled())
     except ConfigError as error:
-        print(f"anisespool: {error}", file=sys.stderr)
+        print(f"anisespool: {error}"[:300], file=sys.stderr)
         return 2
     return 0
 
--- a/anisespool/config.py
+++ b/anisespool/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import math
 import time
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -159,8 +160,12 @@
 
 
 def _number(raw: dict[str, Any], parent: str, key: str, default: int) -> int:
-    value = (raw.get(parent) or {}).get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float) or not value >= 1:
+    """A whole number above 0; 0, as on the wire, stands for none given."""
+    place = raw.get(parent) or {}
+    if not isinstance(place, dict):
+        raise ConfigError(f"LB_CONFIG: key {parent}: an object is needed")
+    value = place.get(key) or default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 1 <= value < math.inf:
         raise ConfigError(f"LB_CONFIG: key {parent}.{key}: {value!r} is no number above 0")
     return int(value)
 
--- a/shuntlead/interface.py
+++ b/shuntlead/interface.py
@@ -102,8 +102,11 @@
         prices = root.child("prices", required=False)
         report = root.child("report", required=False)
         family = root.child("family-info", required=False)
+        classes = tuple(_read_class(c) for c in root.children("request-classes"))
+        if not classes:
+            raise SettingsError("setting request-classes: at least one is needed")
         return cls(
-            classes=tuple(_read_class(c) for c in root.children("request-classes")),
+            classes=classes,
             zone=root.integer("zone", 0),
             attempts_cap=allowed.positive("attempts-cap"),
             drain_grace_ns=rules.integer("drain-grace-ns"),
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,11 +8,15 @@
 import signal
 import socket
 import sys
+from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 
+from anisespool.__main__ import _ending
 from anisespool.config import Address, ConfigError, load
+from shuntlead import Balancer
 from tests.net import OK, Endpoint, exchange, limited, member, raw_call, read_response, until, write_config
 
 NOWHERE = Address("127.0.0.1", 1)
@@ -47,6 +51,12 @@
         (["settings", "tenants"], [{}]),
         (["settings", "request-classes"], [{"target-ns": 1}]),
         (["limits", "sockets"], "many"),
+        (["limits", "sockets"], 1e999),
+        (["limits", "sockets"], -1),
+        (["limits"], "many"),
+        (["limits"], [1]),
+        (["settings", "allowed", "keepalive-ns"], 1e999),
+        (["settings", "allowed", "keepalive-ns"], True),
         (["seed"], "xyz"),
         (["known"], {"revision": 1}),
     ],
@@ -66,6 +76,52 @@
         load(env)
 
 
+def test_a_configuration_without_classes_is_named(tmp_path: Path) -> None:
+    env = write_config(tmp_path, NOWHERE, [])
+    file = Path(env["LB_CONFIG"])
+    raw = json.loads(file.read_text())
+    raw["settings"]["request-classes"] = []
+    file.write_text(json.dumps(raw))
+    with pytest.raises(ConfigError, match="request-classes"):
+        load(env)
+
+
+BAD: list[Any] = [None, True, -1, 0, 1e999, float("nan"), 1e300, 10**30]
+BAD += ["x", "", "9" * 5000, [], [1], [None], {}, {"a": 1}]
+
+
+def test_no_value_anywhere_in_the_file_ends_in_anything_but_a_named_error(tmp_path: Path) -> None:
+    env = write_config(tmp_path, NOWHERE, [member("s-0", NOWHERE)])
+    file = Path(env["LB_CONFIG"])
+    good = file.read_text()
+
+    def places(value: Any, path: tuple[Any, ...] = ()) -> Iterator[tuple[Any, ...]]:
+        if path:
+            yield path
+        if isinstance(value, dict | list):
+            for key in value if isinstance(value, dict) else range(len(value)):
+                yield from places(value[key], (*path, key))
+
+    refused = 0
+    for path in places(json.loads(good)):
+        for bad in BAD:
+            raw = json.loads(good)
+            place = raw
+            for key in path[:-1]:
+                place = place[key]
+            place[path[-1]] = bad
+            file.write_text(json.dumps(raw))
+            try:
+                config = load(env)
+                Balancer(config.settings, config.seed)
+                _ending(config.settings)
+            except ConfigError as error:
+                refused += 1
+                assert "\n" not in str(error)
+                assert any(key in str(error) for key in path if isinstance(key, str)) or bad in ({}, {"a": 1})
+    assert refused > 200
+
+
 def test_one_start_is_always_the_same_start_and_long_ago_stays_so(tmp_path: Path) -> None:
     names = load(write_config(tmp_path, NOWHERE, [])).names
     rows = [
