Give a discovery that answers slowly more time from call to call

Fix: a call given up lends the next one half as much time again, up to 6 s, until one is answered. An open watch is held to 3 s as before: only its first answer may be slow.

--- a/anisespool/discovery.py
+++ b/anisespool/discovery.py
@@ -17,6 +17,7 @@
 # What a silent watch misses counts as told 6 s after its last word (4 s after a move), and a call may wait a
 # second to be turned away. So silence ends a watch once an empty line, due every 2 s, is surely late.
 SILENCE_S = 3.0
+PATIENCE_GROWTH, LONGEST_PATIENCE_S = 1.5, 6.0  # with a call, where those before got no answer
 CONNECT_S = 1.0  # TCP tries again after as long
 FIRST_WAIT_S, LONGEST_WAIT_S = 0.05, 2.0
 MAX_OBJECT = 4 * 1024 * 1024
@@ -98,6 +99,7 @@
         self._on_list, self._on_word = on_list, on_word  # on_word: it has told all that it has for now
         self._revision = revision
         self._wait_s, self._longest_wait_s = FIRST_WAIT_S, longest_wait_s
+        self._patience_s = 0.0  # with the next call, where that is longer than silence may last
         self._turn: asyncio.Task[None] | None = None
 
     def move(self, address: Address) -> None:
@@ -106,7 +108,7 @@
         if address == self._address:
             return
         print("discovery: now at {}:{}".format(*address), file=sys.stderr)
-        self._address, self._wait_s = address, FIRST_WAIT_S
+        self._address, self._wait_s, self._patience_s = address, FIRST_WAIT_S, 0.0
         if self._turn:
             self._turn.cancel()
 
@@ -143,12 +145,12 @@
             request = http1.Request(b"GET", target, {}, b"", True)
             writer.write(http1.encode_request(request, "{}:{}".format(*self._address).encode(), {}))
             while True:
-                async with asyncio.timeout(SILENCE_S):
-                    data = await reader.read(65536)
+                data = await self._read(reader, answered=parser.status == 200)
                 if not data:
                     raise OSError("the watch has ended")
                 parser.feed(data)
                 if parser.status == 200:
+                    self._patience_s = 0.0
                     for text in objects.feed(b"".join(body)):
                         self._on_object(text)
                     self._on_word()
@@ -159,6 +161,18 @@
             parser.close()
             writer.transport.abort()
 
+    async def _read(self, reader: asyncio.StreamReader, answered: bool) -> bytes:
+        """Danger: a discovery that answers, but slowly, would be asked anew each time just before it does and
+        never tell. So a call given up lends the next one patience, until one is answered."""
+        patience_s = SILENCE_S if answered else max(SILENCE_S, self._patience_s)
+        try:
+            async with asyncio.timeout(patience_s):
+                return await reader.read(65536)
+        except TimeoutError:
+            if not answered:
+                self._patience_s = min(patience_s * PATIENCE_GROWTH, LONGEST_PATIENCE_S)
+            raise
+
     def _on_object(self, text: bytes) -> None:
         try:
             update = self._names.member_list(json.loads(text))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -157,6 +157,35 @@
         assert silent.targets == [b"/v1/servers?stream=1&index=1"] * 2 + [b"/v1/servers?stream=1&index=0"]
 
 
+@limited
+async def test_a_discovery_that_answers_slowly_is_given_more_time(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """And an open watch none, however slow the calls before it were."""
+    given, timeout = [], asyncio.timeout
+
+    def soon(seconds: float) -> asyncio.Timeout:
+        given.append(seconds)
+        return timeout(0.001)
+
+    monkeypatch.setattr(asyncio, "timeout", soon)
+    watch = Watch(PLACE, load(write_config(tmp_path, PLACE, [])).names, 1, lambda update: None)
+    for answered in (False, False, False, False, True):
+        with pytest.raises(TimeoutError):
+            await watch._read(asyncio.StreamReader(), answered)
+    assert given == [3.0, 4.5, 6.0, 6.0, 3.0]
+    monkeypatch.undo()
+    monkeypatch.setattr(discovery, "SILENCE_S", 0.02)
+    async with Silent().serve() as peer:
+        watch.move(peer.address)
+        running = asyncio.create_task(watch.run())
+        await until(lambda: len(peer.connections) == 2)
+        assert watch._patience_s > 0
+        peer.answer()
+        await until(lambda: watch._patience_s == 0)
+        running.cancel()
+
+
 @limited
 async def test_a_connection_to_discovery_that_does_not_come_up_is_tried_again(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capfd: pytest.CaptureFixture[str]
