Hold no cycle between an exchange and its attempts, which filled the memory on soak

At fault: Sidecar._send gave each attempt a lambda over its exchange, whose list holds the attempt. Such a cycle waits for the collector, which is set to come seldom (COLLECT); it keeps the request, the answer and the connection.

Fix: the attempt gets the request's number. The new test fails without it.

--- a/anisespool/sidecar.py
+++ b/anisespool/sidecar.py
@@ -9,6 +9,7 @@
 import traceback
 from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from anisespool import http1
@@ -207,12 +208,13 @@
             exchange.call.request,
             deadline,
             self._ended,
-            lambda: self._wanted(exchange),
+            partial(self._wanted, action.request),  # not the exchange, which holds the attempt: no cycles
         )
         exchange.attempts.append(attempt)
         self._endpoints.send(attempt)
 
-    def _wanted(self, exchange: _Exchange) -> bool:
+    def _wanted(self, request_id: int) -> bool:
+        exchange = self._exchanges[request_id]
         if exchange.reply and exchange.left():
             self._close(exchange)
         return exchange.reply is not None
--- a/tests/net.py
+++ b/tests/net.py
@@ -6,8 +6,8 @@
 import json
 import socket
 import struct
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
-from contextlib import asynccontextmanager, suppress
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterator
+from contextlib import ExitStack, asynccontextmanager, contextmanager, suppress
 from functools import wraps
 from pathlib import Path
 from typing import Any, Self
@@ -38,6 +38,19 @@
         await asyncio.sleep(0.002)
 
 
+@contextmanager
+def no_room() -> Iterator[Address]:
+    """An address at which no connection comes up."""
+    with socket.socket() as full, ExitStack() as fillers:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        for _ in range(4):
+            filler = fillers.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(full.getsockname())
+        yield Address(*full.getsockname())
+
+
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close with a reset in place of an orderly end."""
     sock = writer.get_extra_info("socket")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -25,6 +25,7 @@
     limited,
     member,
     member_list,
+    no_room,
     raw_call,
     read_request,
     until,
@@ -192,25 +193,15 @@
 ) -> None:
     """Before the silence of an open one would have been noticed."""
     monkeypatch.setattr(discovery, "CONNECT_S", 0.05)
-    with socket.socket() as full:
-        full.bind(("127.0.0.1", 0))
-        full.listen(0)
-        fillers = [socket.socket() for _ in range(4)]
-        for filler in fillers:
-            filler.setblocking(False)
-            filler.connect_ex(full.getsockname())
+    with no_room() as address:
         names = load(write_config(tmp_path, PLACE, [])).names
-        running = asyncio.create_task(
-            Watch(Address(*full.getsockname()), names, 1, lambda update: None).run()
-        )
+        running = asyncio.create_task(Watch(address, names, 1, lambda update: None).run())
         log, began = "", asyncio.get_running_loop().time()
         while log.count("discovery: no word in time") < 2:
             await asyncio.sleep(0.01)
             log += capfd.readouterr().err
         assert asyncio.get_running_loop().time() - began < discovery.SILENCE_S
         running.cancel()
-        for filler in fillers:
-            filler.close()
 
 
 @pytest.mark.parametrize(
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -15,7 +15,7 @@
 from anisespool.endpoints import Attempt, Endpoints
 from anisespool.http1 import Request
 from shuntlead.interface import Status
-from tests.net import OK, Endpoint, limited, reset, until
+from tests.net import OK, Endpoint, limited, no_room, reset, until
 from tests.support import MS, SECOND
 
 GET = Request(b"GET", b"/look/1?q=2", {b"x-trace-id": b"t9", b"x-other": b"no"}, b"", True)
@@ -123,18 +123,10 @@
 
 @limited
 async def test_a_connection_that_never_comes_up_has_not_run() -> None:
-    with socket.socket() as full:
-        full.bind(("127.0.0.1", 0))
-        full.listen(0)
-        fillers = [socket.socket() for _ in range(4)]
-        for filler in fillers:
-            filler.setblocking(False)
-            filler.connect_ex(full.getsockname())
-        driver = Driver(Address(*full.getsockname()))
+    with no_room() as address:
+        driver = Driver(address)
         attempt = await driver.result()  # the time for connecting ends first
         hasty = await driver.result(timeout_ns=50 * MS)  # the attempt's own does
-        for filler in fillers:
-            filler.close()
     assert (attempt.status, hasty.status) == (Status.CONNECT_FAILED, Status.CONNECT_FAILED)
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import socket
 from collections.abc import Callable
 from pathlib import Path
@@ -11,7 +12,8 @@
 
 import pytest
 
-from anisespool.endpoints import REST_S
+from anisespool.endpoints import REST_S, Attempt
+from anisespool.server import ClientConnection
 from shuntlead import interface as api
 from shuntlead.interface import Status
 from tests.net import Endpoint, World, exchange, limited, raw_call, until, world
@@ -124,3 +126,18 @@
         monkeypatch.undo()
         assert (await driver.result()).status is Status.OK
         assert len(endpoint.requests) == 1
+
+
+@limited
+async def test_what_a_request_needed_goes_with_it(tmp_path: Path) -> None:
+    """Not with the collector, which comes seldom: until then a long day would fill the memory."""
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as it:
+        gc.collect()
+        gc.disable()
+        try:
+            for n in range(20):
+                assert (await exchange(it.address, raw_call("once", f"t{n}"))).status == 200
+            kept = [o for o in gc.get_objects() if isinstance(o, Attempt | ClientConnection)]
+        finally:
+            gc.enable()
+        assert len(kept) <= 2
