Let new connections ask after SIGTERM instead of closing them unanswered

At SIGTERM all idle connections were closed, also those that had been opened and had not asked yet. A client sends again what crosses the end of a kept connection; a new one closed with no answer counts as refused, and beyond one in 200 as lost. The test with a connection opened just before SIGTERM got an end in place of 200.

Fix: the first look at the end is the same as the later ones: kept connections at rest are closed, new ones have until half a request would have.

The new test fails without it.

--- a/anisespool/server.py
+++ b/anisespool/server.py
@@ -300,7 +300,8 @@
             self._transport.close()
 
     def leave(self, late: bool) -> None:
-        """The program ends. `late`: what has not asked by now, or not to the end, is waited for no longer."""
+        """The program ends. `late`: what has not asked by now, or not to the end, is waited for no longer.
+        Danger: a client sends again what crosses the end of a kept connection, not of a new one."""
         if self.idle and (self.served or late):
             self.close_if_idle()
         elif late and self._parser.partial and not self.owed:
@@ -444,7 +445,7 @@
         self.stopping, self.last_ns = True, time.monotonic_ns() + int(new_s * 1e9)
         # Clients use a connection for as long as it is open: closed now, they still find the listener.
         for connection in self.connections:
-            connection.close_if_idle()
+            connection.leave(late=False)
         await asyncio.sleep(accept_s)
         if self._listener:
             loop.remove_reader(self._listener)
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -151,3 +151,21 @@
         assert (response.status, response.headers[b"connection"]) == (200, b"close")
         writer.close()
         await it.task
+
+
+@limited
+async def test_a_new_connection_may_still_ask_after_sigterm(tmp_path: Path) -> None:
+    async with Endpoint().serve() as endpoint, world(tmp_path, endpoint) as it:
+        reader, writer = await asyncio.open_connection(*it.address)
+        assert (await exchange(it.address, raw_call())).status == 200  # so it has been accepted
+        kept_reader, kept = await asyncio.open_connection(*it.address)
+        kept.write(raw_call("once", "t1"))
+        assert (await read_response(kept_reader)).keep_alive
+        it.signals.stop.set()
+        assert await kept_reader.read() == b""  # it has been told to leave
+        writer.write(raw_call("once", "t2"))
+        response = await read_response(reader)
+        assert (response.status, response.headers[b"connection"]) == (200, b"close")
+        writer.close()
+        kept.close()
+        await it.task
