--- a/rehearsal/jobs.py
+++ b/otterreach/simulation/jobs.py
@@ -1,4 +1,4 @@
-"""Archivists, registrars and what speaks to them under faults: batch jobs are submitted, run, read and ended.
+"""JobStoreNodes, controllers and what speaks to them under faults: batch jobs are submitted, run, read and ended.
 
 Checked: what was taken is never unknown, at any time when somebody answers; a position keeps its result; no item stands
 twice; what is listed is what was run; a refused batch job never runs; nothing of an ended batch job begins later than
@@ -15,17 +15,28 @@
 from random import Random
 from typing import Any
 
-from circulation.keepers import Keepers
-from folio.codes import Code, Failure
-from folio.node import Node
-from folio.rpc import Done, Link
-from rehearsal import control, faults
-from rehearsal.loop import Process
-from rehearsal.world import Box, World
-from stacks.archivist import Archivist
-from stacks.messages import Assign, CancelJob, EndJob, Finished, ItemBody, ReadItem, ReadJob, Results, Running, Submit
-from stacks.partition import Copy, CopyState
-from stacks.placement import part_of
+from otterreach.jobstore.messages import (
+    Assign,
+    CancelJob,
+    EndJob,
+    Finished,
+    ItemBody,
+    ReadItem,
+    ReadJob,
+    Results,
+    Running,
+    Submit,
+)
+from otterreach.jobstore.node import JobStoreNode
+from otterreach.jobstore.partition import Copy, CopyState
+from otterreach.jobstore.placement import part_of
+from otterreach.proxy.directory import JobStoreDirectory
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.node import Node
+from otterreach.runtime.rpc import Done, Link
+from otterreach.simulation import control, faults
+from otterreach.simulation.loop import Process
+from otterreach.simulation.world import Box, World
 
 SLAS = control.SLAS | {"cancelMs": 3000, "settleMs": 1000, "statusS": 600}
 CANCEL_S, SETTLE_S = 3.0, 1.0
@@ -37,11 +48,11 @@
 TRAINERS = 3
 
 
-async def archivist(box: Box) -> None:
+async def store_node(box: Box) -> None:
     node = box.new_node()
     journal = box.journal()
     records = journal.read()
-    box.object = Archivist(node, journal, node.random, records)
+    box.object = JobStoreNode(node, journal, node.random, records)
     await box.object.start()
     await node.start("store")
     await node.stopping.wait()
@@ -53,10 +64,10 @@
 
 
 class _Fleet:
-    """What Keepers uses of a carrier's fleet."""
+    """What JobStoreDirectory uses of a proxy's fleet."""
 
     def __init__(self, node: Node) -> None:
-        self.shelf, self.loop = node.shelf, asyncio.get_running_loop()
+        self.store, self.loop = node.store, asyncio.get_running_loop()
         self.draw = _Draw(node.random)
 
 
@@ -65,13 +76,13 @@
 
 
 def is_long(job: str) -> bool:
-    """Items of such a batch job keep their slots, so that others wait at their carriers for seconds."""
+    """Items of such a batch job keep their slots, so that others wait at their proxies for seconds."""
     return zlib.crc32(job.encode()) % 3 == 0
 
 
-class SmallCarrier:
-    """Runs items by waiting a moment, under the rule of the real one: right before one goes out, Keepers must say that
-    its batch job is in force."""
+class SmallProxy:
+    """Runs items by waiting a moment, under the rule of the real one: right before one goes out, JobStoreDirectory
+    must say that its batch job is in force."""
 
     def __init__(self, scenario: Scenario, box: Box, node: Node) -> None:
         self.scenario, self.box, self.node = scenario, box, node
@@ -81,18 +92,18 @@
         self.reporting: set[tuple[str, str]] = set()
         self.ended: set[str] = set()
         fleet: Any = _Fleet(node)
-        self.keepers = Keepers(fleet, node.endpoint, node.settings, self._load, self._end, self._moved)
+        self.directory = JobStoreDirectory(fleet, node.endpoint, node.settings, self._load, self._end, self._moved)
         node.endpoint.on(Assign, self._assign)
         node.endpoint.on(CancelJob, self._cancel)
 
     async def run(self) -> None:
         spawn = self.node.endpoint.spawn
-        spawn(self.keepers.run())
+        spawn(self.directory.run())
         while True:
             await asyncio.sleep(0.05)
             for key in list(self.queue):
                 busy = key in self.running or key in self.reporting or len(self.running) >= SLOTS
-                if not busy and self.keepers.in_force(key[0]):
+                if not busy and self.directory.in_force(key[0]):
                     self.running.add(key)
                     self.scenario.begins(self.box, key)
                     spawn(self._one(key))
@@ -101,7 +112,7 @@
         return SLOTS, max(0, SLOTS - len(self.queue)), sorted({job for job, _ in self.queue})
 
     async def _assign(self, link: Link, assign: Assign) -> None:
-        hold = self.keepers.holds.get(assign.part)
+        hold = self.directory.holds.get(assign.part)
         if assign.job in self.ended or hold and assign.epoch < hold.epoch:
             return
         for work in assign.works:
@@ -127,7 +138,7 @@
         self.reporting.add(key)
         finished = Finished(*key, "done", "", text_of(*key), [2], "score")
         while key in self.queue:
-            reply = await self.keepers.ask(key[0], finished, CALL_S * 2, CALL_S)
+            reply = await self.directory.ask(key[0], finished, CALL_S * 2, CALL_S)
             final = (Code.JOB_ENDED, Code.UNKNOWN_ITEM, Code.UNKNOWN_JOB, Code.BAD_MESSAGE)
             if isinstance(reply, Done) or isinstance(reply, Failure) and reply.code in final:
                 self.scenario.told(key, reply)
@@ -153,15 +164,15 @@
 class Scenario:
     """One run."""
 
-    def __init__(self, world: World, registrars: int = 5, archivists: int = 4, carriers: int = 2) -> None:
+    def __init__(self, world: World, controllers: int = 5, store_nodes: int = 4, proxies: int = 2) -> None:
         self.world = world
         self.random = Random(world.seed ^ 0x10B5)
-        for n in range(registrars):
-            world.add(f"core-{n}", "core", n % 3, control.registrar)
-        for n in range(archivists):
-            world.add(f"store-{n}", "store", n % 3, archivist)
-        for n in range(carriers):
-            world.add(f"front-{n}", "front", n % 3, self._carrier)
+        for n in range(controllers):
+            world.add(f"core-{n}", "core", n % 3, control.controller)
+        for n in range(store_nodes):
+            world.add(f"store-{n}", "store", n % 3, store_node)
+        for n in range(proxies):
+            world.add(f"front-{n}", "front", n % 3, self._proxy)
         world.seeds = [box.ip for box in world.of_role("core")[:3]]
         names = [b.name for b in (*world.of_role("core"), *world.of_role("store"))]
         self.plan = faults.draw(Random(world.seed ^ 0xFA), names, [b.name for b in world.of_role("front")],
@@ -186,26 +197,26 @@
         for name in ("become", "promise", "replayed"):
             self.world.wrap(Copy, name, noting)
 
-    async def _carrier(self, box: Box) -> None:
+    async def _proxy(self, box: Box) -> None:
         node = box.new_node()
-        box.object = SmallCarrier(self, box, node)
+        box.object = SmallProxy(self, box, node)
         await node.start("front")
         await box.object.run()
 
     # What is looked at after each step -----------------------------------------------------------
 
-    def _archivists(self) -> list[tuple[Box, Archivist]]:
-        return [(b, b.object) for b in self.world.of_role("store") if b.up and isinstance(b.object, Archivist)]
+    def _store_nodes(self) -> list[tuple[Box, JobStoreNode]]:
+        return [(b, b.object) for b in self.world.of_role("store") if b.up and isinstance(b.object, JobStoreNode)]
 
     def _summary(self) -> Any:
         rows = []
-        for box, one in self._archivists():
+        for box, one in self._store_nodes():
             for copy in one.replication.copies:
                 rows.append((box.name, copy.part, copy.state, copy.epoch, copy.whole))
         return tuple(rows)
 
     def _check_primaries(self) -> None:
-        for box, one in self._archivists():
+        for box, one in self._store_nodes():
             for copy in one.replication.copies:
                 if copy.state is CopyState.SERVING:
                     name = f"{box.name}#{box.node.disk if box.node else ''}"
@@ -214,7 +225,7 @@
                     self.world.expect(known == name, "one primary", what)
 
     def begins(self, box: Box, key: tuple[str, str]) -> None:
-        """A carrier is about to send an item to a server."""
+        """A proxy is about to send an item to a server."""
         lot = self.lots.get(key[0])
         self.world.expect(lot and key[1] in lot.items, "runs what was never sent", " ".join(key))
         assert lot is not None
@@ -229,7 +240,7 @@
     def told(self, key: tuple[str, str], reply: Any) -> None:
         lot = self.lots[key[0]]
         gone = isinstance(reply, Failure) and reply.code is Code.UNKNOWN_JOB
-        self.world.expect(not (gone and lot.taken_at and not lot.end_sent), "taken is gone", f"{key[0]} to a carrier")
+        self.world.expect(not (gone and lot.taken_at and not lot.end_sent), "taken is gone", f"{key[0]} to a proxy")
         bad = isinstance(reply, Failure) and reply.code is Code.BAD_MESSAGE
         self.world.expect(not bad, "good result refused", f"{key}: {reply}")
 
@@ -268,43 +279,43 @@
             await asyncio.sleep(0.05)
 
     async def _train(self, number: int, process: Process) -> None:
-        """A trainer speaks to the carriers' side of the archivists: it stands on a machine without faults."""
-        box = Box(self.world, process.name, "front", process.address, "hall-a", self._carrier)
+        """A trainer speaks to the proxies' side of the store_nodes: it stands on a machine without faults."""
+        box = Box(self.world, process.name, "front", process.address, "hall-a", self._proxy)
         box.first = True
         node = box.new_node()
         # It is known to nobody: only follows.
         await node.endpoint.listen(node.settings.ip, node.settings.port)
         node.endpoint.spawn(node.follower.run())
         fleet: Any = _Fleet(node)
-        keepers = Keepers(fleet, node.endpoint, node.settings, lambda: (0, 0, []), lambda _: None, lambda *_: None)
+        directory = JobStoreDirectory(fleet, node.endpoint, node.settings, lambda: (0, 0, []), lambda _: None, lambda *_: None)
         count = 0
         while not self.stopping:
             count += 1
             lot = self._draw_lot(f"job-{number}-{count}", quick=number == TRAINERS)
             self.lots[lot.id] = lot
-            await self._submit(keepers, lot)
+            await self._submit(directory, lot)
             if number == TRAINERS:  # shows that batch jobs are taken, whatever the others wait for
                 await asyncio.sleep(0.5)
                 continue
             if lot.taken_at:
-                await self._follow(keepers, lot)
-            await self._look_back(keepers, number)
+                await self._follow(directory, lot)
+            await self._look_back(directory, number)
         for lot in [one for one in self.lots.values() if one.id.startswith(f"job-{number}-")]:
-            await self._read_whole(keepers, lot)
+            await self._read_whole(directory, lot)
 
     def _draw_lot(self, ident: str, quick: bool) -> Lot:
         count = 1 if quick else self.random.choice([1, 3, 6, 25])
         items = {f"{ident}.{n}": self.random.randbytes(self.random.choice([0, 5, 3000])) for n in range(count)}
         return Lot(ident, items, self.world.now)
 
-    async def _submit(self, keepers: Keepers, lot: Lot) -> None:
+    async def _submit(self, directory: JobStoreDirectory, lot: Lot) -> None:
         reqs = [{"id": item, "path": "/p/", "headers": {}, "body": base64.b64encode(body).decode(), "tokens": 4,
                  "group": "g", "scorer": {"id": f"s{item}", "host": "h", "path": "/s", "body": ""}}
                 for item, body in lot.items.items()]  # fmt: skip
         head = {"step": 0, "model": "m", "desired": 1, "minVersion": 1, "reqs": reqs}
         ask = Submit(lot.id, "h.example", "train", json.dumps(head).encode())
         for _ in range(self.random.randint(1, 12)):
-            reply = await keepers.ask(lot.id, ask, CALL_S, CALL_S)
+            reply = await directory.ask(lot.id, ask, CALL_S, CALL_S)
             if isinstance(reply, Done):
                 lot.taken_at = self.world.now
                 self.taken += 1
@@ -314,18 +325,18 @@
             await asyncio.sleep(self.random.uniform(0.05, 0.3))
         lot.refused = not lot.unclear
 
-    async def _follow(self, keepers: Keepers, lot: Lot) -> None:
+    async def _follow(self, directory: JobStoreDirectory, lot: Lot) -> None:
         """Read as results come; end it when enough is there, or for some reason sooner."""
         patience = self.world.now + self.random.choice([0.3, 2.0, 12.0])
         while len(lot.results) < len(lot.items) and self.world.now < patience and not self.stopping:
             past = len(lot.results) if self.random.random() < 0.8 else self.random.randint(0, len(lot.results))
-            await self._read(keepers, lot, past, 500)
+            await self._read(directory, lot, past, 500)
             if self.random.random() < 0.2:
-                await self._body(keepers, lot)
+                await self._body(directory, lot)
         if self.random.random() < 0.8:
             lot.end_sent = True
             while not lot.ended_at:
-                reply = await keepers.ask(lot.id, EndJob(lot.id), CALL_S, CALL_S)
+                reply = await directory.ask(lot.id, EndJob(lot.id), CALL_S, CALL_S)
                 if isinstance(reply, Done) or reply.code is Code.JOB_ENDED:
                     lot.ended_at = self.world.now
                 else:
@@ -337,10 +348,10 @@
         settled = lot.taken_at and self.world.now > lot.taken_at + SETTLE_S
         self.world.expect(not (gone and settled), "taken is gone", f"{lot.id}: {reply}")
 
-    async def _read(self, keepers: Keepers, lot: Lot, past: int, wait_ms: int) -> bool:
+    async def _read(self, directory: JobStoreDirectory, lot: Lot, past: int, wait_ms: int) -> bool:
         known = list(lot.results)
         within = CALL_S + wait_ms / 1000
-        reply = await keepers.ask(lot.id, ReadJob(lot.id, past, wait_ms), within, within)
+        reply = await directory.ask(lot.id, ReadJob(lot.id, past, wait_ms), within, within)
         if isinstance(reply, Failure):
             self._not_unknown(lot, reply)
             return False
@@ -364,34 +375,34 @@
             expect(row[1] != "done" or row[2] == text_of(lot.id, row[0]), "another text", f"{lot.id}: {row}")
             expect(row[1] == "done" or lot.end_sent, "errored without reason", f"{lot.id}: {row}")
 
-    async def _body(self, keepers: Keepers, lot: Lot) -> bool:
+    async def _body(self, directory: JobStoreDirectory, lot: Lot) -> bool:
         """The body of an item that has not been seen listed."""
         listed = {row[0] for row in lot.results}
         waiting = [item for item in lot.items if item not in listed]
         if not waiting:
             return True
         item = self.random.choice(waiting)
-        reply = await keepers.ask(lot.id, ReadItem(lot.id, item), CALL_S, CALL_S)
+        reply = await directory.ask(lot.id, ReadItem(lot.id, item), CALL_S, CALL_S)
         if isinstance(reply, ItemBody):
             self.world.expect(reply.body == lot.items[item], "other bytes", f"{lot.id} {item}")
             return True
         if reply.code is Code.UNKNOWN_ITEM and not lot.end_sent:  # listed meanwhile, then
-            await self._read(keepers, lot, 0, 0)
+            await self._read(directory, lot, 0, 0)
         self._not_unknown(lot, reply)
         return False
 
-    async def _look_back(self, keepers: Keepers, number: int) -> None:
+    async def _look_back(self, directory: JobStoreDirectory, number: int) -> None:
         mine = [lot for lot in self.lots.values() if lot.taken_at and lot.id.startswith(f"job-{number}-")]
         for lot in self.random.sample(mine, min(2, len(mine))):
-            await self._read(keepers, lot, self.random.randint(0, len(lot.results)), 0)
+            await self._read(directory, lot, self.random.randint(0, len(lot.results)), 0)
 
-    async def _read_whole(self, keepers: Keepers, lot: Lot) -> None:
+    async def _read_whole(self, directory: JobStoreDirectory, lot: Lot) -> None:
         """After all is over: what was taken is there, from the start."""
         if not lot.taken_at:
             return
         end = self.world.now + 10.0
         while self.world.now < end:
-            if await self._read(keepers, lot, 0, 0):
+            if await self._read(directory, lot, 0, 0):
                 return
             await asyncio.sleep(0.2)
         self.world.expect(False, "in time", f"{lot.id} can't be read at the end")
--- a/rehearsal/net.py
+++ b/otterreach/simulation/net.py
@@ -1,4 +1,4 @@
-"""TCP between the machines of a rehearsal, in memory: delay, cuts (of one direction too), resets, lost power.
+"""TCP between the machines of a simulation, in memory: delay, cuts (of one direction too), resets, lost power.
 
 What a real kernel would do is kept: a frozen process' connections stay up and take bytes; bytes held up by a cut come
 when it heals, or their sender gives up; a machine without power says nothing; a port nobody listens at refuses.
@@ -15,9 +15,9 @@
 from random import Random
 from typing import Any
 
-from rehearsal.loop import Process, VirtualLoop
+from otterreach.simulation.loop import Process, VirtualLoop
 
-USER_TIMEOUT_S = 1.5  # as folio.rpc sets it
+USER_TIMEOUT_S = 1.5  # as otterreach.runtime.rpc sets it
 SYN_AGAIN_S = 1.0
 HOLD_S = 0.003
 RETRANSMIT_S = 0.25  # a held-up byte comes so long after the cut has healed, at most
--- a/rehearsal/world.py
+++ b/otterreach/simulation/world.py
@@ -12,14 +12,14 @@
 from random import Random
 from typing import Any
 
-import folio.log
-from folio import identity, settings
-from folio.node import Node
-from folio.rpc import Endpoint
-from folio.settings import Settings
-from rehearsal.disk import Disk, VirtualJournal
-from rehearsal.loop import OWNER, Process, Stalled, VirtualLoop
-from rehearsal.net import Network
+import otterreach.runtime.log
+from otterreach.runtime import identity, settings
+from otterreach.runtime.node import Node
+from otterreach.runtime.rpc import Endpoint
+from otterreach.runtime.settings import Settings
+from otterreach.simulation.disk import Disk, VirtualJournal
+from otterreach.simulation.loop import OWNER, Process, Stalled, VirtualLoop
+from otterreach.simulation.net import Network
 
 PORT = 7000
 CTL = 8000
@@ -249,13 +249,13 @@
     def _stand_ins(self) -> Iterator[None]:
         """Ids and the log follow the seed and virtual time; all else is handed in."""
         ids = Random(self.seed ^ 0x1D)
-        drawn, logger = identity.draw, folio.log._logger
+        drawn, logger = identity.draw, otterreach.runtime.log._logger
         identity.draw = lambda: f"{ids.getrandbits(48):012x}"
-        folio.log._logger = _Lines(self)
+        otterreach.runtime.log._logger = _Lines(self)
         try:
             yield
         finally:
-            identity.draw, folio.log._logger = drawn, logger
+            identity.draw, otterreach.runtime.log._logger = drawn, logger
             self._unwrap()
 
 
--- a/stacks/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The keepers of batch jobs: partitions of jobs, each with one primary and its backups under an epoch."""
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -7,8 +7,8 @@
 
 from dataclasses import dataclass, field
 
-from shuntlead import interface as api
-from shuntlead.interface import Effect, Settings
+from otterreach.balancer import interface as api
+from otterreach.balancer.interface import Effect, Settings
 
 PROVEN_UNRUN = {2, 4, 7}  # full, connect failed, moot
 MAY_RUN_ON = {3, 5, 6}  # time-out, reset, cancelled
--- a/tests/stacks_net.py
+++ b/tests/jobstore_net.py
@@ -1,4 +1,4 @@
-"""A network and disks inside one process: stand-ins for folio.rpc.Endpoint and folio.journal.Journal.
+"""A network and disks inside one process: stand-ins for Endpoint and Journal of otterreach.runtime.
 
 Links with delays, cuts and machines that stand still; journals that lose what was not synced when the power goes.
 """
@@ -10,10 +10,10 @@
 from random import Random
 from typing import Any
 
-from folio.codec import NUMBERS, decode, encode
-from folio.codes import Code, Failure
-from folio.journal import pack, scan
-from folio.rpc import Done
+from otterreach.runtime.codec import NUMBERS, decode, encode
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.journal import pack, scan
+from otterreach.runtime.rpc import Done
 
 DELAY_S = 0.001
 CONNECT_S = 0.5
@@ -156,7 +156,7 @@
 
 
 class VirtualEndpoint:
-    """As folio.rpc.Endpoint."""
+    """As otterreach.runtime.rpc.Endpoint."""
 
     def __init__(self, net: Net, address: str) -> None:
         self.net, self.address = net, address
@@ -243,7 +243,7 @@
 
 
 class VirtualJournal:
-    """As folio.journal.Journal, on a VirtualDisk."""
+    """As otterreach.runtime.journal.Journal, on a VirtualDisk."""
 
     def __init__(self, disk: VirtualDisk, sync_s: float = 0.002) -> None:
         self.disk, self.sync_s = disk, sync_s
--- a/tests/stacks_world.py
+++ b/tests/jobstore_world.py
@@ -1,4 +1,4 @@
-"""Archivists on a virtual network, with a control state that the real planner keeps, carriers and clients."""
+"""JobStoreNodes on a virtual network, with a control state that the real planner keeps, proxies and clients."""
 
 from __future__ import annotations
 
@@ -11,35 +11,35 @@
 from typing import Any, cast
 from unittest import mock
 
-from catalogue import planner
-from folio import settings as settings_module
-from folio.codes import Code, Failure
-from folio.identity import member
-from folio.node import Node
-from folio.rpc import Done
-from folio.shelf import Item, Shelf
-from stacks.archivist import Archivist
-from stacks.jobs import Kind
-from stacks.messages import (
+from otterreach.controller import planner
+from otterreach.jobstore.jobs import Kind
+from otterreach.jobstore.messages import (
     Assign,
     CancelJob,
-    CarrierPing,
     EndJob,
     Finished,
     ItemBody,
     PartLost,
     PartSynced,
     Pong,
+    ProxyPing,
     ReadItem,
     ReadJob,
     Results,
     Submit,
     Work,
 )
-from stacks.partition import Copy, CopyState
-from stacks.placement import PARTITIONS, part_of
-from stacks.replication import Office
-from tests.stacks_net import Net, VirtualDisk, VirtualEndpoint, VirtualJournal
+from otterreach.jobstore.node import JobStoreNode
+from otterreach.jobstore.partition import Copy, CopyState
+from otterreach.jobstore.placement import PARTITIONS, part_of
+from otterreach.jobstore.replication import Office
+from otterreach.runtime import settings as settings_module
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.identity import member
+from otterreach.runtime.node import Node
+from otterreach.runtime.rpc import Done
+from otterreach.runtime.store import Item, ReplicatedStore
+from tests.jobstore_net import Net, VirtualDisk, VirtualEndpoint, VirtualJournal
 
 SETTINGS = {"portRange": [7000, 7001], "peers": ["core:8000"], "caps": {"ramMb": 320, "diskMb": 380},
             "slas": {"statusS": 120, "syncS": 4.4, "cancelMs": 3000}, "datadir": "/none"}  # fmt: skip
@@ -59,13 +59,13 @@
 
 
 class StoreNode:
-    """What an Archivist needs of folio.node.Node."""
+    """What an JobStoreNode needs of otterreach.runtime.node.Node."""
 
     def __init__(self, name: str, endpoint: VirtualEndpoint, random: Random) -> None:
         self.settings = settings_module.read({**SETTINGS, "node": name, "ip": name})
         self.endpoint, self.random, self.disk = endpoint, random, ""
-        self.shelf = Shelf()
-        self.follower = SimpleNamespace(primary=REGISTRAR, registrars=[REGISTRAR], root_at=0.0)
+        self.store = ReplicatedStore()
+        self.follower = SimpleNamespace(primary=REGISTRAR, controllers=[REGISTRAR], root_at=0.0)
         self.stopping = asyncio.Event()
 
     @property
@@ -88,9 +88,9 @@
         self.journal = VirtualJournal(self.disk)
         self.node = StoreNode(self.name, self.endpoint, self.world.random)
         records = self.journal.read()
-        with mock.patch("folio.identity.draw", lambda: f"{self.world.random.getrandbits(48):012x}"):
-            self.archivist = Archivist(cast(Node, self.node), self.journal, self.world.random, records)
-        self.endpoint.spawn(self.archivist.start())
+        with mock.patch("otterreach.runtime.identity.draw", lambda: f"{self.world.random.getrandbits(48):012x}"):
+            self.store_node = JobStoreNode(cast(Node, self.node), self.journal, self.world.random, records)
+        self.endpoint.spawn(self.store_node.start())
         self.world.tell(self)
 
     def stop(self, power: bool = False) -> None:
@@ -112,28 +112,28 @@
         self.disk = VirtualDisk()
 
     def copy(self, job: str) -> Copy:
-        return self.archivist.replication.copies[part_of(job)]
+        return self.store_node.replication.copies[part_of(job)]
 
     def office(self, job: str) -> Office | None:
-        return self.archivist.replication.offices.get(part_of(job))
+        return self.store_node.replication.offices.get(part_of(job))
 
 
 class World:
-    """Everything. `alive` is what the registrar believes."""
+    """Everything. `alive` is what the controller believes."""
 
     def __init__(self, stores: int = 3, seed: int = 1, copies: int = 2) -> None:
         self.random = Random(seed)
         self.net = Net(self.random)
-        self.control = Shelf()
+        self.control = ReplicatedStore()
         self.copies, self.rev = copies, 0
         self.failures: list[BaseException] = []
         self.stores: dict[str, Store] = {}
         self.alive: set[str] = set()
         self.lag: Callable[[], float] = lambda: 0.02
         self.lost: list[PartLost] = []
-        self.registrar = VirtualEndpoint(self.net, REGISTRAR)
-        self.registrar.on(PartSynced, self._synced)
-        self.registrar.on(PartLost, self._lost)
+        self.controller = VirtualEndpoint(self.net, REGISTRAR)
+        self.controller.on(PartSynced, self._synced)
+        self.controller.on(PartLost, self._lost)
         self.put("config", {"gen": 1, "routes": [ROUTE], "backends": []})
         self.founding = stores
         for n in range(stores):
@@ -150,7 +150,7 @@
         self.net.join()
 
     def put(self, key: str, value: Any) -> None:
-        """Change an item of the control state; each shelf hears of it a little later, in order."""
+        """Change an item of the control state; each store hears of it a little later, in order."""
         self.rev += 1
         item = Item(key, self.rev, json.dumps(value).encode())
         self.control.apply([item])
@@ -165,7 +165,7 @@
             if self.net.blocked(store.address, REGISTRAR):
                 asyncio.get_running_loop().call_later(0.05, take, endpoint, node)
                 return
-            node.shelf.apply(items)
+            node.store.apply(items)
             node.follower.root_at = asyncio.get_running_loop().time()
 
         asyncio.get_running_loop().call_later(self.lag(), take, store.endpoint, store.node)
@@ -175,7 +175,7 @@
         self._publish(store, list(self.control.items.values()))
 
     def believe(self, store: Store, lives: bool = True) -> None:
-        """The registrar hears of a member, or holds it to be dead; the planner does the rest."""
+        """The controller hears of a member, or holds it to be dead; the planner does the rest."""
         name = store.node.member
         self.alive = {m for m in self.alive if not m.startswith(store.name + "#")}
         if lives:
@@ -228,14 +228,14 @@
         raise AssertionError(f"nobody serves {job}")
 
     def check(self) -> None:
-        """No handler or task of an archivist failed."""
+        """No handler or task of an store_node failed."""
         failures = [*self.failures, *(f for s in self.stores.values() for f in s.endpoint.failures)]
         if failures:
             raise failures[0]
 
 
 class Client:
-    """Calls archivists as a carrier does for its clients."""
+    """Calls store_nodes as a proxy does for its clients."""
 
     def __init__(self, world: World, name: str = "client") -> None:
         self.world = world
@@ -271,7 +271,7 @@
 
 
 class Runner:
-    """A carrier: pings, takes items, finishes them after a while (`run_s` None: never by itself)."""
+    """A proxy: pings, takes items, finishes them after a while (`run_s` None: never by itself)."""
 
     def __init__(self, world: World, name: str, slots: int = 4, run_s: float | None = 0.05) -> None:
         self.world, self.name, self.slots, self.run_s = world, name, slots, run_s
@@ -296,7 +296,7 @@
         now = int(asyncio.get_running_loop().time() * 1000)
         free = max(0, self.slots - len(self.works))
         jobs = sorted({job for job, _ in self.works})
-        ping = CarrierPing(self.name, self.endpoint.address, now, self.slots, free, jobs, 1)
+        ping = ProxyPing(self.name, self.endpoint.address, now, self.slots, free, jobs, 1)
         pong = await self.endpoint.call(store.address, ping, 0.6)
         if isinstance(pong, Pong):
             self.pongs[store.name] = pong
--- a/tests/net.py
+++ b/tests/net.py
@@ -12,9 +12,9 @@
 from pathlib import Path
 from typing import Any, Self
 
-from anisespool import http1
-from anisespool.__main__ import Signals, run
-from anisespool.config import Address, Config, load
+from otterreach.sidecar import http1
+from otterreach.sidecar.__main__ import Signals, run
+from otterreach.sidecar.config import Address, Config, load
 from tests.support import raw_settings
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
--- a/tests/circulation_support.py
+++ b/tests/proxy_support.py
@@ -1,4 +1,4 @@
-"""A carrier's surroundings in memory: servers that do as they are told, clients, archivists."""
+"""A proxy's surroundings in memory: servers that do as they are told, clients, store_nodes."""
 
 from __future__ import annotations
 
@@ -8,17 +8,17 @@
 from random import Random
 from typing import Any
 
-from anisespool import http1
-from circulation.fleet import Fleet
-from circulation.ingress import Client, Ingress
-from circulation.pools import Address, Connection, Factory
-from folio import settings as settings_module
-from folio.codes import Code, Failure
-from folio.rpc import Done
-from folio.settings import Settings
-from folio.shelf import Item, Shelf
-from stacks.messages import Assign, CarrierPing, Finished, Held, Pong, Work
-from stacks.placement import part_of
+from otterreach.jobstore.messages import Assign, Finished, Held, Pong, ProxyPing, Work
+from otterreach.jobstore.placement import part_of
+from otterreach.proxy.fleet import Fleet
+from otterreach.proxy.ingress import Client, Ingress
+from otterreach.proxy.pools import Address, Connection, Factory
+from otterreach.runtime import settings as settings_module
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.rpc import Done
+from otterreach.runtime.settings import Settings
+from otterreach.runtime.store import Item, ReplicatedStore
+from otterreach.sidecar import http1
 from tests import virtual
 from tests.virtual import LATENCY_S, MemoryTransport, connect
 
@@ -45,21 +45,21 @@
 
 
 class World:
-    """Shelf, servers by address, and a fleet over them."""
+    """ReplicatedStore, servers by address, and a fleet over them."""
 
     def __init__(self, routes: list[dict[str, Any]], seed: int = 1) -> None:
-        self.shelf = Shelf()
+        self.store = ReplicatedStore()
         self._rev = 0
         self.servers: dict[Address, FakeServer] = {}
         self.number = 0
         self.configure(routes)
-        self.fleet = Fleet(self.shelf, Random(seed), opener=self.open)
+        self.fleet = Fleet(self.store, Random(seed), opener=self.open)
         self.loop = self.fleet.loop
 
     def put(self, key: str, value: Any) -> None:
         self._rev += 1
         body = b"" if value is None else json.dumps(value).encode()
-        self.shelf.apply([Item(key, self._rev, body)])
+        self.store.apply([Item(key, self._rev, body)])
 
     def configure(self, routes: list[dict[str, Any]], max_connections: int = 100) -> None:
         self.number += 1
@@ -275,7 +275,7 @@
 
 
 class FakeEndpoint:
-    """The calls of a carrier; one archivist that holds all partitions, unless told otherwise."""
+    """The calls of a proxy; one store_node that holds all partitions, unless told otherwise."""
 
     def __init__(self) -> None:
         self.handlers: dict[type, Any] = {}
@@ -311,7 +311,7 @@
         script = self.answers.get(type(value))
         if script:
             return script.pop(0)
-        if isinstance(value, CarrierPing):
+        if isinstance(value, ProxyPing):
             held = [Held(part, self.epoch, self.age_ms) for part in range(16)] if self.holds else []
             return Pong(value.sent_ms, held, [job for job in value.jobs if job in self.ended])
         if isinstance(value, Finished):
@@ -320,7 +320,7 @@
 
 
 def archive(world: World) -> None:
-    """The control state's view of the one archivist."""
+    """The control state's view of the one store_node."""
     world.put("member/store-0", {"role": "store", "address": ARCHIVIST})
     for part in range(16):
         world.put(f"part/{part}", {"epoch": 1, "primary": "store-0#d", "backups": [], "joining": []})
--- a/tests/support.py
+++ b/tests/support.py
@@ -5,9 +5,9 @@
 import copy
 from typing import Any
 
-from shuntlead import interface as api
-from shuntlead.interface import Settings
-from shuntlead.logic import Balancer
+from otterreach.balancer import interface as api
+from otterreach.balancer.interface import Settings
+from otterreach.balancer.logic import Balancer
 
 MS = 1_000_000
 SECOND = 1_000 * MS
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from anisespool import server
+from otterreach.sidecar import server
 from tests.net import Endpoint, exchange, limited, raw_call, read_response, until, world
 from tests.test_endpoints import say_nothing
 from tests.test_sidecar import slow
--- a/tests/test_refdesk_cli.py
+++ b/tests/test_cli.py
@@ -15,25 +15,25 @@
 
 import yaml
 
-from anisespool import http1
-from catalogue.messages import Accept, Append, Install, Record, Registrar
-from exhibition.machines import System
-from exhibition.plan import BOUNDS, Plan, configuration, load
-from folio import codes
-from folio.codec import encode
-from folio.codes import Code, Failure
-from folio.journal import pack
-from folio.relay import Changes, Follow, StillThere
-from folio.rpc import Endpoint, Link
-from folio.shelf import Item, Shelf
-from refdesk import data, state
-from refdesk.__main__ import main
-from refdesk.caller import Caller, error_of
-from refdesk.codes import Desk
-from stacks.jobs import end_record, result_record, submit_record
-from stacks.messages import ReadJob, Results
-from stacks.partition import Copy, Mark
-from stacks.placement import part_of
+from otterreach.cli import data, state
+from otterreach.cli.__main__ import main
+from otterreach.cli.caller import Caller, error_of
+from otterreach.cli.codes import Desk
+from otterreach.controller.messages import Accept, Append, ControllerInfo, Install, Record
+from otterreach.jobstore.jobs import end_record, result_record, submit_record
+from otterreach.jobstore.messages import ReadJob, Results
+from otterreach.jobstore.partition import Copy, Mark
+from otterreach.jobstore.placement import part_of
+from otterreach.loadtest.machines import System
+from otterreach.loadtest.plan import BOUNDS, Plan, configuration, load
+from otterreach.runtime import codes
+from otterreach.runtime.codec import encode
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.journal import pack
+from otterreach.runtime.relay import Changes, Follow, StillThere
+from otterreach.runtime.rpc import Endpoint, Link
+from otterreach.runtime.store import Item, ReplicatedStore
+from otterreach.sidecar import http1
 from tests import virtual
 
 
@@ -143,7 +143,7 @@
 
 class JournalCase(Case):
     def control(self) -> list[tuple[int, bytes]]:
-        who = Registrar("a1", "core-0", "127.0.0.1:1", "z")
+        who = ControllerInfo("a1", "core-0", "127.0.0.1:1", "z")
         items = [Item("config", 1 << 24 | 1, b'{"gen":4}'), Item("server/i", 1 << 24 | 2, b"")]
         return [(1, b"a1 1"), (3, encode(Accept([Record(1, "a1", [], [who])]))), (4, encode(Append(1, items))),
                 (5, encode(Install(2, "a1", [Item("config", 2 << 24 | 1, b'{"gen":6}')]))), (2, b"3")]  # fmt: skip
@@ -301,7 +301,7 @@
 
 
 class StateTest(unittest.TestCase):
-    """Against an endpoint on a real connection that answers as a registrar does."""
+    """Against an endpoint on a real connection that answers as a controller does."""
 
     def items(self, address: str) -> list[Item]:
         member = {"role": "store", "address": address, "zone": "z", "disk": "x"}
@@ -344,12 +344,12 @@
         return asyncio.run(body())
 
     def test_what_is_shown(self) -> None:
-        shelf = self.against(lambda address: state.read(["127.0.0.1:1", address]))
-        assert isinstance(shelf, Shelf)
-        self.assertRegex(state.columns(state.servers(shelf)), r"i-1 +b +d:1 +z +4 +up silent +m=4 +front-0")
-        self.assertRegex(state.columns(state.members(shelf)), r"s1 .* yes")
-        self.assertRegex(state.columns(state.owners(shelf)), r"0 +2 +s1#x +s2#y")
-        self.assertRegex(state.columns(state.epochs(shelf)), r"configuration +8")
+        store = self.against(lambda address: state.read(["127.0.0.1:1", address]))
+        assert isinstance(store, ReplicatedStore)
+        self.assertRegex(state.columns(state.servers(store)), r"i-1 +b +d:1 +z +4 +up silent +m=4 +front-0")
+        self.assertRegex(state.columns(state.members(store)), r"s1 .* yes")
+        self.assertRegex(state.columns(state.owners(store)), r"0 +2 +s1#x +s2#y")
+        self.assertRegex(state.columns(state.epochs(store)), r"configuration +8")
 
     def test_nobody_answers(self) -> None:
         found = asyncio.run(state.read(["127.0.0.1:1"]))
--- a/tests/test_codes.py
+++ b/tests/test_codes.py
@@ -1,4 +1,4 @@
-"""docs/codes.md holds the numbers of folio.codes, and nothing else. `python3 -m tests.test_codes` writes it anew."""
+"""docs/codes.md holds the numbers of otterreach.runtime.codes alone. `python3 -m tests.test_codes` writes it anew."""
 
 from __future__ import annotations
 
@@ -6,8 +6,8 @@
 import unittest
 from pathlib import Path
 
-from folio import codes
-from folio.codes import Code, Failure
+from otterreach.runtime import codes
+from otterreach.runtime.codes import Code, Failure
 
 PAGE = Path(__file__).parent.parent / "docs" / "codes.md"
 LINE = re.compile(r"^    ([A-Z_]+) = (\d+)  # (.+)$", re.MULTILINE)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -1,4 +1,4 @@
-"""catalogue.config: which configurations are taken, which are refused and how, held in tables."""
+"""otterreach.controller.config: which configurations are taken, which are refused and how, held in tables."""
 
 from __future__ import annotations
 
@@ -12,8 +12,8 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from catalogue.config import ALREADY, check_patch, check_whole, fingerprint, parse_if_match, status_of
-from folio.codes import Code, Failure
+from otterreach.controller.config import ALREADY, check_patch, check_whole, fingerprint, parse_if_match, status_of
+from otterreach.runtime.codes import Code, Failure
 
 Config = dict[str, Any]
 Change = Callable[[Config], Any]
--- a/tests/test_registrar.py
+++ b/tests/test_controller.py
@@ -1,4 +1,4 @@
-"""What the primary registrar does for all: members, duties, silent servers, retiring (catalogue/registrar.py)."""
+"""What the primary controller does for all: members, duties, silent servers, retiring (controller/node.py)."""
 
 from __future__ import annotations
 
@@ -7,13 +7,13 @@
 import unittest
 from typing import Any
 
-from catalogue.registrar import FRONT_GONE_S, Registrar
-from circulation.messages import Loaded, Release
-from folio.codes import Failure
-from folio.node import WATCHERS, Announce, Farewell, Heartbeat, ring_of
-from folio.rpc import Done
-from folio.settings import read
-from folio.shelf import Item, Shelf
+from otterreach.controller.node import FRONT_GONE_S, ControllerNode
+from otterreach.proxy.messages import Loaded, Release
+from otterreach.runtime.codes import Failure
+from otterreach.runtime.node import WATCHERS, Announce, Farewell, Heartbeat, ring_of
+from otterreach.runtime.rpc import Done
+from otterreach.runtime.settings import read
+from otterreach.runtime.store import Item, ReplicatedStore
 from tests.virtual import VirtualLoop
 
 SETTINGS = read({"node": "core-1", "ip": "127.0.0.1", "portRange": [7000, 7001], "binds": {"ctl": "127.0.0.1:1"},
@@ -24,7 +24,7 @@
     """Stands in for replication: what is revised is in force at once."""
 
     def __init__(self) -> None:
-        self.state, self.is_primary, self.primary_address, self.rev = Shelf(), True, "", 0
+        self.state, self.is_primary, self.primary_address, self.rev = ReplicatedStore(), True, "", 0
 
     def revise(self, changes: list[tuple[str, bytes]]) -> asyncio.Future[bool]:
         for key, value in changes:
@@ -37,20 +37,20 @@
 
 class Stage:
     def __init__(self) -> None:
-        self.registrar = Registrar.__new__(Registrar)
-        registrar: Any = self.registrar
+        self.controller = ControllerNode.__new__(ControllerNode)
+        controller: Any = self.controller
         self.control = Control()
-        registrar.settings, registrar.control, registrar.loop = SETTINGS, self.control, asyncio.get_running_loop()
-        registrar.heard, registrar.heard_servers, registrar._leaving, registrar._lost = {}, {}, {}, {}
+        controller.settings, controller.control, controller.loop = SETTINGS, self.control, asyncio.get_running_loop()
+        controller.heard, controller.heard_servers, controller._leaving, controller._lost = {}, {}, {}, {}
 
     async def member(self, node: str, role: str, disk: str = "") -> None:
         link: Any = None
-        await self.registrar._announce(link, Announce(node, disk, role, f"{node}:1", "z", "r"))
+        await self.controller._announce(link, Announce(node, disk, role, f"{node}:1", "z", "r"))
         await self.beat(node, disk)
 
     async def beat(self, node: str, disk: str = "") -> None:
         link: Any = None
-        await self.registrar._heartbeat(link, Heartbeat(node, disk))
+        await self.controller._heartbeat(link, Heartbeat(node, disk))
 
     def put(self, key: str, value: Any) -> None:
         self.control.revise([(key, json.dumps(value).encode())])
@@ -60,7 +60,7 @@
                                      "models": [{"name": "m", "gen": gen}], "warm_ms": 0, "calls": 1})  # fmt: skip
 
     def duty(self, ident: str) -> Any:
-        self.registrar._plan_duties()
+        self.controller._plan_duties()
         return self.control.state.get(f"duty/{ident}")
 
 
@@ -98,11 +98,11 @@
                 await stage.member(node, "front")
             stage.server("a")
             holder = stage.duty("a")["holder"]
-            self.assertEqual(await stage.registrar._release(link, Release(holder, "a", 10**9)), Done())
+            self.assertEqual(await stage.controller._release(link, Release(holder, "a", 10**9)), Done())
             new = stage.duty("a")
             self.assertNotEqual(new["holder"], holder)
             self.assertEqual(new["wait_ms"], 0)
-            reply = await stage.registrar._release(link, Release(new["holder"], "a", 500))
+            reply = await stage.controller._release(link, Release(new["holder"], "a", 500))
             self.assertIsInstance(reply, Failure)  # the only other one has just let go
 
         self.play(scene)
@@ -111,8 +111,8 @@
         async def scene(stage: Stage) -> None:
             link: Any = None
             stage.server("a", gen=3)
-            await stage.registrar._loaded(link, Loaded("a", "m", 4))
-            await stage.registrar._loaded(link, Loaded("a", "m", 2))
+            await stage.controller._loaded(link, Loaded("a", "m", 4))
+            await stage.controller._loaded(link, Loaded("a", "m", 2))
             self.assertEqual(stage.control.state.get("server/a")["models"], [{"name": "m", "gen": 4}])
 
         self.play(scene)
@@ -123,7 +123,7 @@
             await stage.member("store-1", "store", "d1")
             stage.put("part/0", {"epoch": 1, "primary": "store-1#d1", "backups": [], "joining": []})
             await asyncio.sleep(FRONT_GONE_S * 10)
-            stage.registrar._plan_members()
+            stage.controller._plan_members()
             self.assertEqual(set(stage.control.state.named("member")), {"store-1"})
             await stage.member("front-1", "front")
             self.assertIn("front-1", stage.control.state.named("member"))
@@ -134,9 +134,9 @@
         async def scene(stage: Stage) -> None:
             await stage.member("store-1", "store", "d1")
             stage.put("retire/store-1", {"disk": "d1"})
-            self.assertEqual(stage.registrar.stores().retiring, frozenset({"store-1#d1"}))
+            self.assertEqual(stage.controller.stores().retiring, frozenset({"store-1#d1"}))
             await stage.member("store-1", "store", "d2")
-            self.assertEqual(stage.registrar.stores().usable, ["store-1#d2"])
+            self.assertEqual(stage.controller.stores().usable, ["store-1#d2"])
 
         self.play(scene)
 
@@ -144,31 +144,31 @@
         async def scene(stage: Stage) -> None:
             link: Any = None
             await stage.member("store-1", "store", "d1")
-            self.assertEqual(stage.registrar.stores().usable, ["store-1#d1"])
-            await stage.registrar._farewell(link, Farewell("store-1", "d1"))
-            self.assertEqual(stage.registrar.stores().usable, [])
+            self.assertEqual(stage.controller.stores().usable, ["store-1#d1"])
+            await stage.controller._farewell(link, Farewell("store-1", "d1"))
+            self.assertEqual(stage.controller.stores().usable, [])
             await stage.beat("store-1", "d1")
-            self.assertEqual(stage.registrar.stores().usable, ["store-1#d1"])
+            self.assertEqual(stage.controller.stores().usable, ["store-1#d1"])
 
         self.play(scene)
 
     def test_silent_servers_are_marked_and_heard_ones_are_not(self) -> None:
         async def scene(stage: Stage) -> None:
             stage.server("a")
-            stage.registrar._plan_servers()
+            stage.controller._plan_servers()
             await asyncio.sleep(10)
-            stage.registrar._plan_servers()
+            stage.controller._plan_servers()
             self.assertTrue(stage.control.state.get("server/a")["silent"])
-            stage.registrar._server_heard("a")
-            stage.registrar._plan_servers()
+            stage.controller._server_heard("a")
+            stage.controller._plan_servers()
             self.assertFalse(stage.control.state.get("server/a")["silent"])
 
         self.play(scene)
 
     def test_the_ring_is_the_same_everywhere_and_spreads_members(self) -> None:
-        registrars = [f"10.0.0.{n}:7000" for n in range(5)]
-        self.assertEqual(ring_of("front-1", registrars), ring_of("front-1", registrars[::-1]))
-        firsts = {ring_of(f"front-{n}", registrars)[0] for n in range(60)}
+        controllers = [f"10.0.0.{n}:7000" for n in range(5)]
+        self.assertEqual(ring_of("front-1", controllers), ring_of("front-1", controllers[::-1]))
+        firsts = {ring_of(f"front-{n}", controllers)[0] for n in range(60)}
         self.assertGreater(len(firsts), WATCHERS)
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,10 +14,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from anisespool import __main__ as program
-from anisespool import discovery
-from anisespool.config import Address, load
-from anisespool.discovery import Objects, Watch
+from otterreach.sidecar import __main__ as program
+from otterreach.sidecar import discovery
+from otterreach.sidecar.config import Address, load
+from otterreach.sidecar.discovery import Objects, Watch
 from tests.net import (
     Discovery,
     Endpoint,
--- a/tests/test_ending.py
+++ b/tests/test_ending.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from anisespool import __main__ as program
-from anisespool import server
+from otterreach.sidecar import __main__ as program
+from otterreach.sidecar import server
 from tests.net import (
     OK,
     SLACK_S,
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -11,10 +11,10 @@
 
 import pytest
 
-from anisespool.config import Address
-from anisespool.endpoints import Attempt, Endpoints
-from anisespool.http1 import Request
-from shuntlead.interface import Status
+from otterreach.balancer.interface import Status
+from otterreach.sidecar.config import Address
+from otterreach.sidecar.endpoints import Attempt, Endpoints
+from otterreach.sidecar.http1 import Request
 from tests.net import OK, Endpoint, limited, no_room, reset, until
 from tests.support import MS, SECOND
 
--- a/tests/test_hostile.py
+++ b/tests/test_hostile.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from shuntlead import interface as api
-from shuntlead.interface import RosterForm, Settings, Status
+from otterreach.balancer import interface as api
+from otterreach.balancer.interface import RosterForm, Settings, Status
 from tests.support import MS, SECOND, Sidecar, finals, listed, raw_settings, sends, timers
 from tests.test_rules import World
 
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from anisespool.http1 import RequestParser, ResponseParser, encode_response, parse_load
+from otterreach.sidecar.http1 import RequestParser, ResponseParser, encode_response, parse_load
 
 TWO = (
     b"POST /once/1?x=%20 HTTP/1.1\r\nX-Trace-Id: a\r\nContent-Length: 3\r\n\r\nabc"
--- a/tests/test_stacks_copies.py
+++ b/tests/test_jobstore_copies.py
@@ -8,12 +8,12 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from folio.codes import Code, Failure
-from folio.rpc import Done
-from stacks.messages import Entry, JobAppend, PartEpochs, PartPing, Results
-from stacks.partition import Copy, CopyState
-from stacks.replication import FRESH_S
-from tests.stacks_world import Client, Store, World, lot
+from otterreach.jobstore.messages import Entry, JobAppend, PartEpochs, PartPing, Results
+from otterreach.jobstore.partition import Copy, CopyState
+from otterreach.jobstore.replication import FRESH_S
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.rpc import Done
+from tests.jobstore_world import Client, Store, World, lot
 from tests.virtual import run
 
 Scene = Callable[[World, Client], Coroutine[Any, Any, None]]
@@ -237,7 +237,7 @@
     def test_writes_wait_for_a_joiner_before_it_may_become_primary(self) -> None:
         async def scene(world: World, client: Client) -> None:
             await client.submit("a")
-            world.registrar.handlers.clear()  # PartSynced is heard by nobody
+            world.controller.handlers.clear()  # PartSynced is heard by nobody
             primary, backup = world.primary_of("a"), world.backup_of("a")
             joiner = next(s for s in world.stores.values() if s not in (primary, backup))
             part = primary.copy("a").part
@@ -363,12 +363,12 @@
                 await client.finish(name, 1)
             await client.end("b")
             store = world.primary_of("a")
-            before = {c.part: (c.position, c.epoch, c.jobs.digests()) for c in store.archivist.replication.copies}
+            before = {c.part: (c.position, c.epoch, c.jobs.digests()) for c in store.store_node.replication.copies}
             results = results_of(await client.read("a"))
-            await store.journal.rewrite(store.archivist.live)
+            await store.journal.rewrite(store.store_node.live)
             store.stop(power=True)
             store.start()
-            after = {c.part: (c.position, c.epoch, c.jobs.digests()) for c in store.archivist.replication.copies}
+            after = {c.part: (c.position, c.epoch, c.jobs.digests()) for c in store.store_node.replication.copies}
             self.assertEqual(before, after)
             await world.serving("a")
             self.assertEqual(results, results_of(await client.read("a")))
--- a/tests/test_stacks_dispatch.py
+++ b/tests/test_jobstore_dispatch.py
@@ -1,4 +1,4 @@
-"""Items go out to few carriers: in order, what is due first, no more than fits, and back when a carrier is lost."""
+"""Items go out to few proxies: in order, what is due first, no more than fits, and back when a proxy is lost."""
 
 from __future__ import annotations
 
@@ -10,13 +10,13 @@
 from math import ceil
 from typing import Any
 
-from folio.codes import Code, Failure
-from folio.rpc import Done
-from stacks.dispatch import AHEAD, SETTLE_S
-from stacks.jobs import JobState
-from stacks.messages import GiveBack, Results, Running
-from stacks.placement import part_of
-from tests.stacks_world import ROUTE, Client, Runner, World, lot
+from otterreach.jobstore.dispatch import AHEAD, SETTLE_S
+from otterreach.jobstore.jobs import JobState
+from otterreach.jobstore.messages import GiveBack, Results, Running
+from otterreach.jobstore.placement import part_of
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.rpc import Done
+from tests.jobstore_world import ROUTE, Client, Runner, World, lot
 from tests.virtual import run
 
 MAX_WAIT_S = 30.0  # of ROUTE
@@ -40,7 +40,7 @@
     return [(r["id"], r["state"]) for r in json.loads(b"[" + reply.body + b"]")]
 
 
-async def carriers(world: World, count: int, **values: Any) -> list[Runner]:
+async def proxies(world: World, count: int, **values: Any) -> list[Runner]:
     runners = [Runner(world, f"front-{n}", **values) for n in range(count)]
     await asyncio.sleep(0.3)
     return runners
@@ -57,7 +57,7 @@
             server = {"backend": "lm", "addr": "127.0.0.1:1", "az": "z", "cap": cap, "state": "up", "models": []}
             world.put("config", {"routes": [{**ROUTE, "backend": "lm", "kind": "rollout"}]})
             world.put("server/s", server)
-            runners = await carriers(world, 4, slots=16, run_s=None)
+            runners = await proxies(world, 4, slots=16, run_s=None)
             await client.submit("a", body=lot("a", 24, 4))
             await asyncio.sleep(0.1)
             self.assertEqual(shares, sorted(len(r.works) for r in runners))
@@ -71,7 +71,7 @@
 
     def test_no_more_than_fits_and_in_order(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            (runner,) = await carriers(world, 1, slots=3, run_s=None)
+            (runner,) = await proxies(world, 1, slots=3, run_s=None)
             await client.submit("a", body=lot("a", 40, 1))
             await asyncio.sleep(0.5)
             self.assertEqual([f"a-{n}" for n in range(ceil(3 * AHEAD))], [item for _, item in runner.assigned])
@@ -89,11 +89,11 @@
             await asyncio.sleep(0.1)
             await client.submit(late, body=lot(late, 4, 1))
             store = world.primary_of(late)
-            job = store.archivist.dispatch.open[late]
+            job = store.store_node.dispatch.open[late]
             await client.submit(soon, body=lot(soon, 4, 1))
-            store.archivist.dispatch.open[soon].route = "r-soon"
-            (runner,) = await carriers(world, 1, slots=2, run_s=None)
-            self.assertEqual(90.0, store.archivist.terms(job).due_s)
+            store.store_node.dispatch.open[soon].route = "r-soon"
+            (runner,) = await proxies(world, 1, slots=2, run_s=None)
+            self.assertEqual(90.0, store.store_node.terms(job).due_s)
             self.assertEqual([soon] * ceil(2 * AHEAD), [name for name, _ in runner.assigned])
 
         play(scene)
@@ -103,7 +103,7 @@
             other = next(f"b{n}" for n in range(99) if part_of(f"b{n}") == part_of("a"))
             await client.submit("a", body=lot("a", 12, 2, step=1, desired=2))
             await client.submit(other, body=lot(other, 4, 2, step=1, desired=2))
-            (runner,) = await carriers(world, 1, slots=6, run_s=None)
+            (runner,) = await proxies(world, 1, slots=6, run_s=None)
             given = [(job, int(item.partition("-")[2])) for job, item in runner.assigned]
             wanted = {("a", n) for n in range(4)} | {(other, n) for n in range(4)}
             self.assertEqual(sorted([*wanted, ("a", 4)]), sorted(given))  # 9 fit, and just one of them is spare
@@ -112,7 +112,7 @@
 
     def test_nothing_goes_out_before_it_is_at_all_copies(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            (runner,) = await carriers(world, 1)
+            (runner,) = await proxies(world, 1)
             world.net.cut(world.primary_of("a").address, world.backup_of("a").address)
             await client.submit("a", timeout_s=0.6)
             self.assertEqual([], runner.assigned)
@@ -123,7 +123,7 @@
 class LossTest(unittest.TestCase):
     def test_a_silent_carrier_loses_its_items(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            first, second = await carriers(world, 2, slots=6, run_s=None)
+            first, second = await proxies(world, 2, slots=6, run_s=None)
             await client.submit("a", body=lot("a", 8, 1))
             await asyncio.sleep(0.1)
             first.pinging = False
@@ -134,7 +134,7 @@
 
     def test_a_carrier_that_ends_loses_them_at_once(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            first, second = await carriers(world, 2, slots=6, run_s=None)
+            first, second = await proxies(world, 2, slots=6, run_s=None)
             await client.submit("a", body=lot("a", 8, 1))
             await asyncio.sleep(0.1)
             first.endpoint.kill()
@@ -145,7 +145,7 @@
 
     def test_given_back_they_go_elsewhere(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            first, second = await carriers(world, 2, slots=6, run_s=None)
+            first, second = await proxies(world, 2, slots=6, run_s=None)
             await client.submit("a", body=lot("a", 8, 1))
             await asyncio.sleep(0.1)
             first.slots = 0
@@ -161,7 +161,7 @@
 
     def test_after_a_takeover_what_runs_is_left_where_it_runs(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            first, second = await carriers(world, 2, slots=4, run_s=None)
+            first, second = await proxies(world, 2, slots=4, run_s=None)
             await client.submit("a", body=lot("a", 8, 1))
             await asyncio.sleep(0.1)
             mine = sorted(item for _, item in first.works)
@@ -182,7 +182,7 @@
 
     def test_one_that_pings_over_another_connection_is_told_again(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            (runner,) = await carriers(world, 1, slots=4, run_s=None)
+            (runner,) = await proxies(world, 1, slots=4, run_s=None)
             await client.submit("a")
             await asyncio.sleep(0.1)
             runner.works.clear()
@@ -198,7 +198,7 @@
 class EndTest(unittest.TestCase):
     def test_carriers_are_told_of_the_end(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            runners = await carriers(world, 2, slots=4, run_s=None)
+            runners = await proxies(world, 2, slots=4, run_s=None)
             await client.submit("a", body=lot("a", 8, 1))
             await asyncio.sleep(0.1)
             self.assertEqual(Done(), await client.end("a"))
@@ -213,11 +213,11 @@
         """Its end is settled and its bodies are gone, and the dispatch has not heard of it yet."""
 
         async def scene(world: World, client: Client) -> None:
-            (runner,) = await carriers(world, 1, slots=4, run_s=None)
+            (runner,) = await proxies(world, 1, slots=4, run_s=None)
             await client.submit("a")
             await asyncio.sleep(0.1)
             store = world.primary_of("a")
-            store.archivist.dispatch.open["a"].state = JobState.ENDED
+            store.store_node.dispatch.open["a"].state = JobState.ENDED
             runner.assigned.clear()
             link = runner.endpoint.linked(store.address)
             assert link is not None
@@ -229,7 +229,7 @@
 
     def test_one_that_missed_it_hears_of_it_with_its_next_ping(self) -> None:
         async def scene(world: World, client: Client) -> None:
-            (runner,) = await carriers(world, 1, slots=8, run_s=None)
+            (runner,) = await proxies(world, 1, slots=8, run_s=None)
             await client.submit("a")
             await asyncio.sleep(0.1)
             kept = dict(runner.works)
@@ -268,7 +268,7 @@
 
     def judge(self, body: bytes, changes: dict[str, Any], code: Code | None) -> None:
         async def scene(world: World, client: Client) -> None:
-            (runner,) = await carriers(world, 1, run_s=None)
+            (runner,) = await proxies(world, 1, run_s=None)
             await client.submit("a", body=body)
             await asyncio.sleep(0.1)
             reply = await client.finish("a", 0, **changes)
--- a/tests/test_stacks_jobs.py
+++ b/tests/test_jobstore_jobs.py
@@ -7,8 +7,7 @@
 import unittest
 from typing import Any
 
-from folio.codes import Code, Failure
-from stacks.jobs import (
+from otterreach.jobstore.jobs import (
     READ_BYTES,
     ItemState,
     Job,
@@ -21,8 +20,9 @@
     result_record,
     submit_record,
 )
-from stacks.messages import Finished
-from tests.stacks_world import body_of, lot
+from otterreach.jobstore.messages import Finished
+from otterreach.runtime.codes import Code, Failure
+from tests.jobstore_world import body_of, lot
 
 
 def job_of(body: bytes, job: str = "a") -> Job:
--- a/tests/test_stacks_troubles.py
+++ b/tests/test_jobstore_troubles.py
@@ -1,4 +1,4 @@
-"""Archivists under drawn troubles, one at a time: nothing acknowledged is lost, no position ever changes."""
+"""JobStoreNodes under drawn troubles, one at a time: nothing acknowledged is lost, no position ever changes."""
 
 from __future__ import annotations
 
@@ -10,11 +10,11 @@
 from random import Random
 from typing import Any
 
-from folio.codes import Code, Failure
-from folio.rpc import Done
-from stacks.messages import EndJob, ReadItem, ReadJob, Results, Submit
-from stacks.placement import part_of
-from tests.stacks_world import Client, Runner, Store, World, body_of, lot
+from otterreach.jobstore.messages import EndJob, ReadItem, ReadJob, Results, Submit
+from otterreach.jobstore.placement import part_of
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.rpc import Done
+from tests.jobstore_world import Client, Runner, Store, World, body_of, lot
 from tests.virtual import run
 
 DEAD_S = 0.9
@@ -23,7 +23,7 @@
 
 
 class Play:
-    """One day: clients and carriers at work while troubles come and go."""
+    """One day: clients and proxies at work while troubles come and go."""
 
     def __init__(self, seed: int) -> None:
         self.random = Random(seed)
@@ -37,7 +37,7 @@
         self.count = 0
         self.wrong: list[str] = []
         self.now = asyncio.get_running_loop().time
-        self.away: dict[str, float] = {}  # since when the registrar hears nothing of a store
+        self.away: dict[str, float] = {}  # since when the controller hears nothing of a store
         self.over = False
         self.added = 0
         self.tasks: set[asyncio.Task[Any]] = set()
@@ -47,9 +47,9 @@
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    # The registrar's view ------------------------------------------------------------------------
+    # The controller's view ------------------------------------------------------------------------
 
-    async def registrar(self) -> None:
+    async def controller(self) -> None:
         while True:
             await asyncio.sleep(0.2)
             for store in self.world.stores.values():
@@ -209,7 +209,7 @@
             await asyncio.sleep(0.1)
             if all(self.sound(n) for n in range(16)):
                 return
-        states = {n: (p, [s.archivist.replication.copies[n].state.value for s in self.world.stores.values()])
+        states = {n: (p, [s.store_node.replication.copies[n].state.value for s in self.world.stores.values()])
                   for n, p in self.world.parts().items() if not self.sound(n)}  # fmt: skip
         raise AssertionError(f"not whole again: {states}")
 
@@ -218,14 +218,14 @@
         members = [self.world.stores[m.partition("#")[0]] for m in part.members]
         if len(members) < 2 or any(m not in self.world.alive for m in part.members):
             return False
-        office = members[0].archivist.replication.offices.get(n)
+        office = members[0].store_node.replication.offices.get(n)
         return bool(office and office.fresh and office.epoch == part.epoch)
 
     # The day -------------------------------------------------------------------------------------
 
     async def day(self, troubles: int) -> None:
         await self.world.serving("a")
-        for work in (self.registrar(), self.trainer(), self.reader()):
+        for work in (self.controller(), self.trainer(), self.reader()):
             self.spawn(work)
         await self.troubles(troubles)
         self.over = True
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,4 +1,4 @@
-"""folio.journal: what a loss of power, a damaged file and a failing disk leave behind."""
+"""otterreach.runtime.journal: what a loss of power, a damaged file and a failing disk leave behind."""
 
 from __future__ import annotations
 
@@ -16,9 +16,9 @@
 from typing import Any
 from unittest import mock
 
-from folio import journal
-from folio.codes import Code
-from folio.journal import HEADER, Journal, JournalDamaged, Record, pack, scan
+from otterreach.runtime import journal
+from otterreach.runtime.codes import Code
+from otterreach.runtime.journal import HEADER, Journal, JournalDamaged, Record, pack, scan
 
 RECORDS: list[Record] = [(1, b"one"), (2, b""), (3, bytes(range(256)) * 3), (255, b"last" * 9)]
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,10 +12,10 @@
 
 import pytest
 
-from anisespool.endpoints import REST_S, Attempt
-from anisespool.server import ClientConnection
-from shuntlead import interface as api
-from shuntlead.interface import Status
+from otterreach.balancer import interface as api
+from otterreach.balancer.interface import Status
+from otterreach.sidecar.endpoints import REST_S, Attempt
+from otterreach.sidecar.server import ClientConnection
 from tests.net import Endpoint, World, exchange, limited, raw_call, until, world
 from tests.support import MS
 from tests.test_endpoints import Driver, say_nothing
--- a/tests/test_exhibition_checks.py
+++ b/tests/test_loadtest_checks.py
@@ -1,4 +1,4 @@
-"""The exhibition's checks find what they are for; its plans, figures and page."""
+"""The load test's checks find what they are for; its plans, figures and page."""
 
 from __future__ import annotations
 
@@ -12,21 +12,21 @@
 from typing import Any
 from unittest import mock
 
-from anisespool import http1
-from exhibition import plan as plan_module
-from exhibition import report, verify
-from exhibition.callers import Tally
-from exhibition.latency import Latencies
-from exhibition.ledger import Ledger, Made, Ordered, Ran, Sealed, event_data, read_line
-from exhibition.machines import System
-from exhibition.plan import PLANS, Plan, configuration, load, read
-from exhibition.play import Played
-from exhibition.scene import Entry, Front, Scene
-from exhibition.server import EngineServer, PlainServer, read_ask
-from exhibition.trainer import Lot, TrainerPart
-from folio import settings as settings_module
-from folio.codes import Code, Failure
-from refdesk.caller import Caller, ask
+from otterreach.cli.caller import Caller, ask
+from otterreach.loadtest import plan as plan_module
+from otterreach.loadtest import report, verify
+from otterreach.loadtest.callers import Tally
+from otterreach.loadtest.latency import Latencies
+from otterreach.loadtest.ledger import Ledger, Made, Ordered, Ran, Sealed, event_data, read_line
+from otterreach.loadtest.machines import System
+from otterreach.loadtest.plan import PLANS, Plan, configuration, load, read
+from otterreach.loadtest.play import Played
+from otterreach.loadtest.scene import Entry, Front, Scene
+from otterreach.loadtest.server import EngineServer, PlainServer, read_ask
+from otterreach.loadtest.trainer import Lot, TrainerPart
+from otterreach.runtime import settings as settings_module
+from otterreach.runtime.codes import Code, Failure
+from otterreach.sidecar import http1
 from tests import virtual
 
 
@@ -225,7 +225,7 @@
             self.assertIn(part, found.reason)
 
     def test_the_configuration_is_valid(self) -> None:
-        from catalogue.config import check_whole
+        from otterreach.controller.config import check_whole
 
         for file in PLANS.glob("*.toml"):
             found = load(file.stem)
@@ -244,7 +244,7 @@
 
 class FiguresTest(unittest.TestCase):
     def test_percentiles_with_and_without_the_library(self) -> None:
-        with mock.patch("exhibition.latency._recorder", return_value=None):
+        with mock.patch("otterreach.loadtest.latency._recorder", return_value=None):
             plain = Latencies()
         for latencies in (plain, Latencies()):
             self.assertEqual(latencies.points(), {})
@@ -370,7 +370,7 @@
             part = TrainerPart(place, place.plan.trainer[0], 0.0)
             refused, taken = http1.Response(503, {}, b"", False), http1.Response(202, {}, b"", False)
             answers = [refused, Failure(Code.CLOSED, "cut"), taken]
-            with mock.patch("exhibition.trainer.ask", side_effect=answers):
+            with mock.patch("otterreach.loadtest.trainer.ask", side_effect=answers):
                 lot = part._draw()
                 self.assertTrue(await part._submit(lot))
             return lot
@@ -387,7 +387,7 @@
             lot = part._draw()
             lot.accepted_at = place.now()
             answer = http1.Response(404, {}, b"", False)
-            with mock.patch("exhibition.trainer.ask", return_value=answer):
+            with mock.patch("otterreach.loadtest.trainer.ask", return_value=answer):
                 await part.read_once(lot, 0)
                 self.assertEqual(lot.faults, [])
                 await asyncio.sleep(5)
--- a/tests/test_exhibition_engine.py
+++ b/tests/test_loadtest_engine.py
@@ -1,4 +1,4 @@
-"""The engines of the exhibition as state machines: no clock, no network."""
+"""The engines of the load test as state machines: no clock, no network."""
 
 from __future__ import annotations
 
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from exhibition.engine import Ask, End, Engine, Event, Key, Memory, Run, Stage, Why
-from exhibition.plan import Service
+from otterreach.loadtest.engine import Ask, End, Engine, Event, Key, Memory, Run, Stage, Why
+from otterreach.loadtest.plan import Service
 
 TICK_S = 0.01
 MODEL = "m"
--- a/tests/test_logic.py
+++ b/tests/test_logic.py
@@ -13,11 +13,11 @@
 
 import pytest
 
-from shuntlead import interface as api
-from shuntlead.interface import EndpointState, RosterForm, Status
-from shuntlead.logic import Balancer
-from shuntlead.routing import COLD_SHARE
-from shuntlead.state import Pending
+from otterreach.balancer import interface as api
+from otterreach.balancer.interface import EndpointState, RosterForm, Status
+from otterreach.balancer.logic import Balancer
+from otterreach.balancer.routing import COLD_SHARE
+from otterreach.balancer.state import Pending
 from tests.support import MS, SECOND, Sidecar, finals, listed, quiet, sends, settings, timers
 
 ROOT = Path(__file__).parent.parent
@@ -39,7 +39,7 @@
     lines = [line for path in POLICY for line in path.read_text().splitlines()]
     assert sum(bool(line.strip()) for line in lines) <= 1200  # past it operators do not run it
     assert max(map(len, lines)) <= 110
-    assert "shuntlead/interface.py" in lines[0]
+    assert "otterreach/balancer/interface.py" in lines[0]
 
 
 def test_module_imports_only_the_interface_and_the_standard_library() -> None:
@@ -51,8 +51,8 @@
         elif isinstance(node, ast.ImportFrom):
             imported.add(str(node.module))
     outside = {m for m in imported if m.split(".")[0] not in sys.stdlib_module_names}
-    own = {f"shuntlead.{path.stem}" for path in POLICY}
-    assert outside <= {"shuntlead", "shuntlead.interface"} | own
+    own = {f"otterreach.balancer.{path.stem}" for path in POLICY}
+    assert outside <= {"otterreach.balancer", "otterreach.balancer.interface"} | own
     assert not imported & {"time", "datetime", "os", "threading"}
 
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -8,12 +8,12 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from refdesk.__main__ import ROLES, app
-from refdesk.codes import Desk
+from otterreach.cli.__main__ import ROLES, app
+from otterreach.cli.codes import Desk
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs" / "operations.md").read_text()
-PROGRAMS = {"folio": "all", "catalogue": "registrar", "stacks": "archivist", "circulation": "carrier"}
+PROGRAMS = {"runtime": "all", "controller": "controller", "jobstore": "jobstore", "proxy": "proxy"}
 PACKAGES = tuple(PROGRAMS)
 WORD = re.compile(r"[a-z_]+")
 
@@ -40,7 +40,7 @@
     """Every event that is logged, with the packages that do."""
     found: dict[str, set[str]] = {}
     for package in PACKAGES:
-        for file in (ROOT / package).glob("*.py"):
+        for file in (ROOT / "otterreach" / package).glob("*.py"):
             for event in _logged(file.read_text()):
                 found.setdefault(event, set()).add(package)
     return found
@@ -66,7 +66,7 @@
     def test_each_comes_from_where_the_page_says(self) -> None:
         for event, told in rows():
             packages = events()[event]
-            if "folio" not in packages:  # what all share is logged by whoever uses it
+            if "runtime" not in packages:  # what all share is logged by whoever uses it
                 self.assertEqual(told.split(", "), sorted(PROGRAMS[package] for package in packages), event)
 
     def test_in_order_and_once(self) -> None:
@@ -77,7 +77,7 @@
         self.assertEqual([(int(n), name) for n, name in rows], [(code.value, code.name) for code in Desk])
 
     def test_commands_are_there(self) -> None:
-        named = set(re.findall(r"python3 -m refdesk ([a-z-]+)", PAGE))
+        named = set(re.findall(r"python3 -m otterreach.cli ([a-z-]+)", PAGE))
         self.assertTrue(named)
         self.assertLessEqual(named, set(app))
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -1,4 +1,4 @@
-"""Duties: one holder for each server, a lease before each order, the next holder's wait (circulation/orders.py)."""
+"""Duties: one holder for each server, a lease before each order, the next holder's wait (proxy/orders.py)."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 from types import SimpleNamespace
 from typing import Any
 
-from circulation.orders import LEASE_S, MARGIN_S, Orders, due, takeover_s
-from folio.codes import Code, Failure
-from folio.http import Reply
-from folio.shelf import Item, Shelf
+from otterreach.proxy.orders import LEASE_S, MARGIN_S, Orders, due, takeover_s
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.http import Reply
+from otterreach.runtime.store import Item, ReplicatedStore
 from tests.virtual import VirtualLoop
 
 SERVER = {"backend": "b", "addr": "127.0.0.1:1", "az": "z", "cap": 4, "state": "up", "warm_ms": 0, "calls": 1}
@@ -45,12 +45,12 @@
     def setUp(self) -> None:
         self.loop = VirtualLoop()
         self.addCleanup(self.loop.close)
-        self.shelf, self.servers, self.age, self.rev = Shelf(), Servers(), 0.1, 0
+        self.store, self.servers, self.age, self.rev = ReplicatedStore(), Servers(), 0.1, 0
         self.told: list[Any] = []
 
     def put(self, key: str, value: Any) -> None:
         self.rev += 1
-        self.shelf.apply([Item(key, self.rev, json.dumps(value).encode())])
+        self.store.apply([Item(key, self.rev, json.dumps(value).encode())])
 
     def play(self, seconds: float) -> Orders:
         told: list[Any] = self.told
@@ -61,7 +61,7 @@
 
         async def run() -> Orders:
             follower = SimpleNamespace(age_s=lambda: self.age)
-            node: Any = SimpleNamespace(shelf=self.shelf, settings=SimpleNamespace(node="front-1"), follower=follower,
+            node: Any = SimpleNamespace(store=self.store, settings=SimpleNamespace(node="front-1"), follower=follower,
                                         ask_primary=ask_primary)  # fmt: skip
             orders = Orders(node, self.servers)  # type: ignore[arg-type]
             task = asyncio.ensure_future(orders.run())
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,4 +1,4 @@
-"""Which archivists keep which partition: docs/system.md, "Partitions of batch jobs"."""
+"""Which store_nodes keep which partition: docs/system.md, "Partitions of batch jobs"."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from catalogue.planner import Part, Stores, found, plan, synced
+from otterreach.controller.planner import Part, Stores, found, plan, synced
 
 ZONES = {"a#1": "z1", "b#1": "z2", "c#1": "z3", "d#1": "z1"}
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -14,9 +14,9 @@
 
 import pytest
 
-from anisespool.__main__ import _ending
-from anisespool.config import Address, ConfigError, load
-from shuntlead import Balancer
+from otterreach.balancer import Balancer
+from otterreach.sidecar.__main__ import _ending
+from otterreach.sidecar.config import Address, ConfigError, load
 from tests.net import OK, Endpoint, exchange, limited, member, raw_call, read_response, until, write_config
 
 NOWHERE = Address("127.0.0.1", 1)
@@ -136,7 +136,7 @@
 
 async def start(env: dict[str, str]) -> asyncio.subprocess.Process:
     process = await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "anisespool", env=os.environ | env, stderr=asyncio.subprocess.PIPE
+        sys.executable, "-m", "otterreach.sidecar", env=os.environ | env, stderr=asyncio.subprocess.PIPE
     )
     address = Address.parse(env["LB_LISTEN"])
     while True:
@@ -169,7 +169,7 @@
         listen = f"127.0.0.1:{taken.getsockname()[1]}"
         for env, name in (({}, b"LB_CONFIG"), (write_config(tmp_path, NOWHERE, [], listen), b"LB_LISTEN")):
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "anisespool", env=bare | env, stderr=asyncio.subprocess.PIPE
+                sys.executable, "-m", "otterreach.sidecar", env=bare | env, stderr=asyncio.subprocess.PIPE
             )
             _, log = await process.communicate()
             assert (process.returncode, log.count(b"\n")) == (2, 1)
--- a/tests/test_circulation_parts.py
+++ b/tests/test_proxy_parts.py
@@ -1,4 +1,4 @@
-"""The draw, events, configuration, batch-job calls and the listener of a carrier."""
+"""The draw, events, configuration, batch-job calls and the listener of a proxy."""
 
 from __future__ import annotations
 
@@ -8,19 +8,19 @@
 from random import Random
 from typing import Any
 
-from circulation import config
-from circulation.carrier import Carrier
-from circulation.config import Caps, host_key
-from circulation.draw import FORGET_S, MOST, Draw, Estimate
-from circulation.events import EventReader, Transcript, versions_of
-from circulation.ingress import Client, Ingress
-from circulation.keepers import Keepers
-from circulation.lots import Lots, is_lots_call
-from folio.codes import Code, Failure
-from folio.rpc import Done
-from stacks.messages import EndJob, ItemBody, ReadItem, ReadJob, Results, Submit
+from otterreach.jobstore.messages import EndJob, ItemBody, ReadItem, ReadJob, Results, Submit
+from otterreach.proxy import config
+from otterreach.proxy.batch_jobs import Lots, is_lots_call
+from otterreach.proxy.config import Caps, host_key
+from otterreach.proxy.directory import JobStoreDirectory
+from otterreach.proxy.draw import FORGET_S, MOST, Draw, Estimate
+from otterreach.proxy.events import EventReader, Transcript, versions_of
+from otterreach.proxy.ingress import Client, Ingress
+from otterreach.proxy.node import Proxy
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.rpc import Done
 from tests import virtual
-from tests.circulation_support import Caller, FakeEndpoint, World, archive, played, route, serve, settings
+from tests.proxy_support import Caller, FakeEndpoint, World, archive, played, route, serve, settings
 
 
 def known(x: float, in_flight: int = 0, at: float = 0.0) -> Estimate:
@@ -151,15 +151,15 @@
 
 
 class Calls:
-    """The calls of batch jobs from a client to an archivist that answers as told."""
+    """The calls of batch jobs from a client to an store_node that answers as told."""
 
     def __init__(self) -> None:
         self.world = World([route("l", "/l/", "rollout", targetMs=400)])
         archive(self.world)
         self.endpoint = FakeEndpoint()
-        keepers = Keepers(self.world.fleet, self.endpoint, settings(), lambda: (0, 0, []), lambda _: None,
+        directory = JobStoreDirectory(self.world.fleet, self.endpoint, settings(), lambda: (0, 0, []), lambda _: None,
                           lambda *_: None)  # fmt: skip
-        lots = Lots(keepers)
+        lots = Lots(directory)
 
         async def handle(request: Any, client: Client) -> None:
             if is_lots_call(request):
@@ -334,7 +334,7 @@
     @played
     async def test_ready_once_it_is_as_new_as_the_core(self: Any) -> None:
         world = World([route()])
-        carrier = Carrier.__new__(Carrier)
+        proxy = Proxy.__new__(Proxy)
         age = 5.0
 
         class Follower:
@@ -344,17 +344,17 @@
         class Node:
             follower = Follower()
 
-        carrier.node, carrier.fleet = Node(), world.fleet  # type: ignore[assignment]
-        carrier.leaving = carrier._been_ready = False
-        self.assertFalse(carrier.ready)
+        proxy.node, proxy.fleet = Node(), world.fleet  # type: ignore[assignment]
+        proxy.leaving = proxy._been_ready = False
+        self.assertFalse(proxy.ready)
         world.server("i-1", serve)
-        self.assertFalse(carrier.ready)
+        self.assertFalse(proxy.ready)
         age = 0.5
-        self.assertTrue(carrier.ready)
+        self.assertTrue(proxy.ready)
         age = 30.0
-        self.assertTrue(carrier.ready)
-        carrier.leaving = True
-        self.assertFalse(carrier.ready)
+        self.assertTrue(proxy.ready)
+        proxy.leaving = True
+        self.assertFalse(proxy.ready)
 
 
 if __name__ == "__main__":
--- a/tests/test_circulation_requests.py
+++ b/tests/test_proxy_requests.py
@@ -6,12 +6,12 @@
 import unittest
 from typing import Any
 
-from circulation.config import Caps
-from circulation.ingress import Ingress
-from circulation.requests import Requests, path_of, text
-from circulation.streams import Streams
+from otterreach.proxy.config import Caps
+from otterreach.proxy.ingress import Ingress
+from otterreach.proxy.requests import Requests, path_of, text
+from otterreach.proxy.streams import Streams
 from tests import virtual
-from tests.circulation_support import (
+from tests.proxy_support import (
     HOST,
     SEAL,
     Call,
--- a/tests/test_circulation_runner.py
+++ b/tests/test_proxy_runner.py
@@ -8,12 +8,12 @@
 from math import ceil
 from typing import Any
 
-from circulation.runner import ITEMS_PER_CORE, Phase, Runner
-from folio.codes import Code, Failure
-from stacks.messages import CancelJob, CarrierPing, Finished, GiveBack, Running
-from stacks.placement import RUNNER_ROOM
+from otterreach.jobstore.messages import CancelJob, Finished, GiveBack, ProxyPing, Running
+from otterreach.jobstore.placement import RUNNER_ROOM
+from otterreach.proxy.runner import ITEMS_PER_CORE, Phase, Runner
+from otterreach.runtime.codes import Code, Failure
 from tests import virtual
-from tests.circulation_support import (
+from tests.proxy_support import (
     ARCHIVIST,
     Call,
     FakeEndpoint,
@@ -37,7 +37,7 @@
 
 
 class Stage:
-    """A runner with its servers and its archivist."""
+    """A runner with its servers and its store_node."""
 
     def __init__(self, **item_route: Any) -> None:
         items = route("l", "/l/", "rollout", backend="lm", maxWaitS=40, dueMs=5000) | item_route
@@ -47,7 +47,7 @@
         self.endpoint = FakeEndpoint()
         self.runner = Runner(self.world.fleet, self.endpoint, settings())
         self.loop = self.world.loop
-        self.tasks = [asyncio.ensure_future(w) for w in (self.runner.keepers.run(), self.runner.watch())]
+        self.tasks = [asyncio.ensure_future(w) for w in (self.runner.directory.run(), self.runner.watch())]
 
     def server(self, ident: str, script: Script, version: int = 1, cap: int = 4) -> FakeServer:
         return self.world.server(ident, script, "lm", cap=cap, models=[{"name": "m", "gen": version}])
@@ -477,7 +477,7 @@
         await asyncio.sleep(0.5)
         running = [r for r in stage.runner.runs.values() if r.phase is Phase.RUNNING]
         self.assertEqual(len(running), stage.runner.slots)
-        pings = [c for c in stage.endpoint.calls if isinstance(c, CarrierPing)]
+        pings = [c for c in stage.endpoint.calls if isinstance(c, ProxyPing)]
         self.assertEqual((pings[-1].slots, pings[-1].free, pings[-1].jobs), (stage.runner.slots, 0, ["j1"]))
         stage.world.fronts(4)
         await asyncio.sleep(0)
@@ -509,7 +509,7 @@
 
     @staged()
     async def test_a_share_of_one_server(self, stage: Stage) -> None:
-        """After a change of version one server may be the only one that fits; other carriers send there as well."""
+        """After a change of version one server may be the only one that fits; other proxies send there as well."""
         new = stage.server("i-0", silence, 2, cap=12)
         for n in range(1, 5):
             stage.server(f"i-{n}", silence, 1, cap=12)
@@ -518,7 +518,7 @@
         stage.runner.assign(assign([work(f"i{n}") for n in range(30)], min_version=2))
         await asyncio.sleep(1.0)
         self.assertEqual(stage.runner.fleet.runners, 2)
-        self.assertEqual(len(new.calls), 7)  # 12 slots / 2 carriers that run items * 1.1, rounded up
+        self.assertEqual(len(new.calls), 7)  # 12 slots / 2 proxies that run items * 1.1, rounded up
 
     @staged()
     async def test_rewards_leave_room_for_clients(self, stage: Stage) -> None:
@@ -536,7 +536,7 @@
         await stage.result()
         await asyncio.sleep(0.5)
         self.assertEqual((len(server.calls), len(stage.endpoint.finished)), (1, 1))
-        self.assertEqual(stage.runner.keepers.address_of("j1"), ARCHIVIST)
+        self.assertEqual(stage.runner.directory.address_of("j1"), ARCHIVIST)
 
 
 if __name__ == "__main__":
--- a/tests/test_circulation_sockets.py
+++ b/tests/test_proxy_sockets.py
@@ -1,4 +1,4 @@
-"""What a carrier does on real connections: what the memory's network does not have."""
+"""What a proxy does on real connections: what the memory's network does not have."""
 
 from __future__ import annotations
 
@@ -7,11 +7,11 @@
 import unittest
 from typing import Any
 
-from circulation.config import Caps
-from circulation.exchange import Exchange, Fate, Outbound
-from circulation.ingress import Client, Ingress
-from circulation.pools import Pool
-from tests.circulation_support import SEAL
+from otterreach.proxy.config import Caps
+from otterreach.proxy.exchange import Exchange, Fate, Outbound
+from otterreach.proxy.ingress import Client, Ingress
+from otterreach.proxy.pools import Pool
+from tests.proxy_support import SEAL
 
 
 def outbound(body: bytes = b"") -> Outbound:
--- a/tests/test_circulation_start.py
+++ b/tests/test_proxy_start.py
@@ -1,4 +1,4 @@
-"""A carrier right after its start: requests wait a little for the first configuration."""
+"""A proxy right after its start: requests wait a little for the first configuration."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 from types import SimpleNamespace
 from typing import Any
 
-from anisespool import http1
-from circulation.carrier import HOLD_SHARE, Carrier
+from otterreach.proxy.node import HOLD_SHARE, Proxy
+from otterreach.sidecar import http1
 from tests.virtual import VirtualLoop
 
 
@@ -18,19 +18,19 @@
         self.addCleanup(loop.close)
 
         async def scene() -> float:
-            carrier: Any = Carrier.__new__(Carrier)
-            carrier.fleet = SimpleNamespace(config=SimpleNamespace(number=0))
-            carrier._configured = asyncio.Event()
+            proxy: Any = Proxy.__new__(Proxy)
+            proxy.fleet = SimpleNamespace(config=SimpleNamespace(number=0))
+            proxy._configured = asyncio.Event()
 
             def known() -> None:
-                carrier.fleet.config.number = 1
-                carrier._on_change()
+                proxy.fleet.config.number = 1
+                proxy._on_change()
 
-            carrier._on_change()
+            proxy._on_change()
             loop.call_later(known_after_s, known)
             client: Any = SimpleNamespace(came_at=loop.time())
             request = http1.Request(b"GET", b"/a", {b"deadline-ms": deadline_ms}, b"", True)
-            await carrier._first_configuration(request, client)
+            await proxy._first_configuration(request, client)
             return float(loop.time() - client.came_at)
 
         return loop.run_until_complete(scene())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,4 +1,4 @@
-"""Finding a parent, and leaving one (folio/relay.py)."""
+"""Finding a parent, and leaving one (otterreach/runtime/relay.py)."""
 
 from __future__ import annotations
 
@@ -8,10 +8,10 @@
 from random import Random
 from typing import Any
 
-from folio.codes import Code, Failure
-from folio.relay import OLD_S, SILENT_S, Changes, Follow, Follower, StillThere
-from folio.settings import read
-from folio.shelf import Item, Shelf
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.relay import OLD_S, SILENT_S, Changes, Follow, Follower, StillThere
+from otterreach.runtime.settings import read
+from otterreach.runtime.store import Item, ReplicatedStore
 from tests.virtual import VirtualLoop
 
 ROOTS = [f"127.0.0.{n}:7000" for n in range(1, 5)]
@@ -33,15 +33,15 @@
     """A relay: cut off from the root since a moment, or not."""
 
     def __init__(self, net: Net) -> None:
-        self.net, self.shelf, self.answers, self.cut_at = net, Shelf(), True, 1e9
+        self.net, self.store, self.answers, self.cut_at = net, ReplicatedStore(), True, 1e9
 
     def changes(self, items: list[Item], asked_ms: int = 0) -> Changes:
         age = max(0.0, self.net.time() - self.cut_at) + 0.1
-        return Changes(int(age * 1000), self.shelf.rev, items, self.shelf.digest, asked_ms)
+        return Changes(int(age * 1000), self.store.rev, items, self.store.digest, asked_ms)
 
 
 class Net:
-    """Stands in for folio.rpc.Endpoint."""
+    """Stands in for otterreach.runtime.rpc.Endpoint."""
 
     def __init__(self) -> None:
         self.time: Callable[[], float] = asyncio.get_running_loop().time
@@ -62,13 +62,13 @@
             await asyncio.sleep(timeout_s)
             return Failure(Code.TIMED_OUT, "")
         assert isinstance(ask, Follow)
-        return parent.changes(parent.shelf.differing(ask.digests))
+        return parent.changes(parent.store.differing(ask.digests))
 
     def put(self, item: Item) -> None:
         """A change that all but those cut off hear of."""
         for parent in self.parents.values():
             if parent.cut_at > self.time():
-                parent.shelf.apply([item])
+                parent.store.apply([item])
 
 
 class FollowerTest(unittest.TestCase):
@@ -78,7 +78,7 @@
 
         async def whole() -> None:
             net: Any = Net()
-            follower = Follower(net, Shelf(), SETTINGS, Random(seed))
+            follower = Follower(net, ReplicatedStore(), SETTINGS, Random(seed))
             net.put(Item("config", 1, b'{"gen": 1}'))
             task = asyncio.ensure_future(follower.run())
             await asyncio.sleep(1.0)
@@ -97,7 +97,7 @@
             net.put(Item("config", 2, b'{"gen": 2}'))
             await asyncio.sleep(OLD_S + 1.3)
             self.assertNotEqual(follower.parent, first)
-            self.assertEqual(follower.shelf.items["config"].rev, 2)
+            self.assertEqual(follower.store.items["config"].rev, 2)
             self.assertLess(follower.age_s(), 0.5)
 
         for seed in range(12):
@@ -111,7 +111,7 @@
             net.put(Item("config", 2, b'{"gen": 2}'))
             await asyncio.sleep(SILENT_S + 1.2)
             self.assertNotEqual(follower.parent, first)
-            self.assertEqual(follower.shelf.items["config"].rev, 2)
+            self.assertEqual(follower.store.items["config"].rev, 2)
 
         for seed in range(12):
             with self.subTest(seed):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from anisespool import discovery
-from anisespool.config import Address
+from otterreach.sidecar import discovery
+from otterreach.sidecar.config import Address
 from tests.net import (
     Discovery,
     Endpoint,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -9,9 +9,9 @@
 
 from hypothesis import HealthCheck, given, settings, strategies
 
-from shuntlead import interface as api
-from shuntlead.interface import EndpointState, Status
-from shuntlead.logic import Balancer
+from otterreach.balancer import interface as api
+from otterreach.balancer.interface import EndpointState, Status
+from otterreach.balancer.logic import Balancer
 from tests.checker import Checker
 from tests.support import MS, SECOND, raw_settings
 
--- a/tests/test_levels.py
+++ b/tests/test_scaletest.py
@@ -10,15 +10,15 @@
 from pathlib import Path
 from typing import Any
 
-from catalogue.config import check_whole
-from catalogue.resources import read_server
-from folio import settings
-from folio.codes import Failure
-from folio.rpc import Done
-from folio.shelf import Item, Shelf
-from levels import cost, hollow, meter, processes, size, table
-from levels.size import Size
-from levels.table import Sample
+from otterreach.controller.config import check_whole
+from otterreach.controller.handlers import read_server
+from otterreach.runtime import settings
+from otterreach.runtime.codes import Failure
+from otterreach.runtime.rpc import Done
+from otterreach.runtime.store import Item, ReplicatedStore
+from otterreach.scaletest import cost, hollow, meter, processes, size, table
+from otterreach.scaletest.size import Size
+from otterreach.scaletest.table import Sample
 
 
 class SizeTest(unittest.TestCase):
@@ -116,11 +116,11 @@
 class HollowTest(unittest.TestCase):
     def setUp(self) -> None:
         self.told: list[dict[str, Any]] = []
-        self.shelf = Shelf()
-        self.sight = hollow.Sight("front-1", self.shelf, 2, 1, self.told.append)
+        self.store = ReplicatedStore()
+        self.sight = hollow.Sight("front-1", self.store, 2, 1, self.told.append)
 
     def put(self, key: str, rev: int, value: dict[str, Any]) -> None:
-        self.shelf.apply([Item(key, rev, json.dumps(value).encode())])
+        self.store.apply([Item(key, rev, json.dumps(value).encode())])
 
     def test_tells_once_that_it_knows_all(self) -> None:
         self.put("server/a", 1, size.registration(1, 1))
@@ -164,14 +164,14 @@
 
 class CostTest(unittest.TestCase):
     def test_the_state_has_the_size(self) -> None:
-        shelf = cost.shelf_of(20, 3)
-        self.assertEqual(len(shelf.named("server")), 20)
-        self.assertEqual(len(shelf.named("duty")), 20)
-        self.assertEqual(len(shelf.named("member")), 3)
+        store = cost.store_of(20, 3)
+        self.assertEqual(len(store.named("server")), 20)
+        self.assertEqual(len(store.named("duty")), 20)
+        self.assertEqual(len(store.named("member")), 3)
 
     def test_what_it_times_is_what_a_carrier_does(self) -> None:
         async def work() -> None:
-            orders = cost.orders_of(cost.shelf_of(6, 2), "front-1")
+            orders = cost.orders_of(cost.store_of(6, 2), "front-1")
             self.assertEqual(len(orders.mine()), 3)
             orders.step()
             self.assertEqual(orders.loading, {})
--- a/tests/test_schemas.py
+++ b/tests/test_schemas.py
@@ -1,4 +1,4 @@
-"""schemas/*.fbs are what folio.codec says of each module's messages; `python3 -m tests.test_schemas` writes them."""
+"""otterreach/schemas/*.fbs are what the codec says of each message. `python3 -m tests.test_schemas` writes them."""
 
 from __future__ import annotations
 
@@ -12,11 +12,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from folio import codec
+from otterreach.runtime import codec
 
 ROOT = Path(__file__).parent.parent
-SCHEMAS = ROOT / "schemas"
-PACKAGES = ("folio", "catalogue", "stacks", "circulation")
+SCHEMAS = ROOT / "otterreach" / "schemas"
+PACKAGES = ("runtime", "controller", "jobstore", "proxy")
 WORDS: dict[Any, st.SearchStrategy[Any]] = {
     int: st.integers(-(2**63), 2**63 - 1),
     bool: st.booleans(),
@@ -29,15 +29,15 @@
 def modules() -> Iterator[str]:
     """The modules that define messages."""
     for package in PACKAGES:
-        for file in sorted((ROOT / package).glob("*.py")):
+        for file in sorted((ROOT / "otterreach" / package).glob("*.py")):
             if "@message(" in file.read_text() and file.stem != "codec":
-                yield f"{package}.{file.stem}"
+                yield f"otterreach.{package}.{file.stem}"
 
 
 def schemas() -> dict[str, str]:
     for name in modules():
         importlib.import_module(name)
-    texts = {f"{name}.fbs": codec.schema(name) for name in modules()}
+    texts = {f"{name.removeprefix('otterreach.')}.fbs": codec.schema(name) for name in modules()}
     return {name: text for name, text in texts.items() if "table " in text}
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,4 +1,4 @@
-"""folio.settings: the file as the platform writes it, and the key named when one can't be used."""
+"""otterreach.runtime.settings: the file as the platform writes it, and the key named when one can't be used."""
 
 from __future__ import annotations
 
@@ -10,8 +10,8 @@
 from typing import Any
 from unittest import mock
 
-from folio import settings
-from shuntlead.interface import SettingsError
+from otterreach.balancer.interface import SettingsError
+from otterreach.runtime import settings
 
 TEXT = """\
 node: "front-quarry-1"
--- a/tests/test_sidecar.py
+++ b/tests/test_sidecar.py
@@ -16,12 +16,12 @@
 
 import pytest
 
-from anisespool import discovery
-from anisespool.config import load
-from anisespool.endpoints import REST_S, Endpoints
-from anisespool.sidecar import Answer, Call, Sidecar
-from shuntlead import interface as api
-from shuntlead.interface import RosterForm
+from otterreach.balancer import interface as api
+from otterreach.balancer.interface import RosterForm
+from otterreach.sidecar import discovery
+from otterreach.sidecar.config import load
+from otterreach.sidecar.endpoints import REST_S, Endpoints
+from otterreach.sidecar.sidecar import Answer, Call, Sidecar
 from tests.net import (
     OK,
     SLACK_S,
--- a/tests/test_rehearsal.py
+++ b/tests/test_simulation.py
@@ -10,15 +10,15 @@
 from typing import Any
 from unittest import mock
 
-from catalogue.control import Control
-from folio import rpc
-from folio.codes import Code, Failure
-from folio.rpc import Done, Endpoint, Link
-from rehearsal import control, faults, jobs
-from rehearsal.disk import Disk, VirtualJournal
-from rehearsal.loop import Process, Stalled, VirtualLoop
-from rehearsal.net import Network
-from stacks.replication import Office
+from otterreach.controller.replication import Control
+from otterreach.jobstore.replication import Office
+from otterreach.runtime import rpc
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.rpc import Done, Endpoint, Link
+from otterreach.simulation import control, faults, jobs
+from otterreach.simulation.disk import Disk, VirtualJournal
+from otterreach.simulation.loop import Process, Stalled, VirtualLoop
+from otterreach.simulation.net import Network
 
 
 class Pair:
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from shuntlead import interface as api
-from shuntlead import wire
-from shuntlead.simhost import Host
+from otterreach.balancer import interface as api
+from otterreach.balancer import wire
+from otterreach.balancer.simhost import Host
 from tests.support import MS, SECOND, listed, raw_settings
 
 ROOT = Path(__file__).parent.parent
