Job store replication split by concern, with the field's names

Now: replica_stream.py (one backup as its primary sees it), leadership.py (being primary in one epoch), backup.py (the handlers of a backup), member_pings.py (heartbeats), replication.py (which partitions this machine leads or keeps). Messages, their numbers, items of the control state and files on disk are as they were.

--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -125,7 +125,7 @@
         return {name for name in self._store_members() if now - self.heard.get(name, -1e9) < DEAD_S}
 
     def _store_members(self) -> dict[str, str]:
-        """Zone of each store_node that is known, by node#disk."""
+        """Zone of each job store node that is known, by node#disk."""
         return {
             member(node, m["disk"]): m["zone"]
             for node, m in self.control.state.named("member").items()
@@ -251,13 +251,13 @@
                     epoch=part.epoch,
                     primary=part.primary,
                     backups=",".join(part.backups),
-                    joining=",".join(part.joining),
+                    joining=",".join(part.learners),
                 )
 
     def _plan_members(self) -> None:
         """Forget machines that have long been silent and keep nothing; one that comes back announces itself anew."""
         now, state = self.loop.time(), self.control.state
-        keeping = {m for part in self.parts().values() for m in (*part.members, *part.joining)}
+        keeping = {m for part in self.parts().values() for m in (*part.members, *part.learners)}
         changes = []
         for node, m in state.named("member").items():
             name = member(node, m["disk"])
@@ -335,7 +335,7 @@
         record = self.parts().get(told.part)
         if record is None or record.epoch != told.epoch:
             return Failure(Code.STALE_EPOCH, "another epoch")
-        if told.member in record.joining:
+        if told.member in record.learners:
             stores = self.stores().without(self._lost_now().get(told.part, set()) - {record.primary})
             new = planner.synced(record, told.member, self.copies, stores)
             self._revise_parts({told.part: new})
--- a/otterreach/controller/planner.py
+++ b/otterreach/controller/planner.py
@@ -1,6 +1,6 @@
-"""Which store_nodes keep which partition. Pure: records and what is known of members in, new records out.
+"""Which job store nodes keep which partition. Pure: records and what is known of members in, new records out.
 
-A dead primary changes places with a living backup at once. Who is dead stays in the record until a joiner has all that
+A dead primary changes places with a living backup at once. Who is dead stays in the record until a learner has all that
 it had, for it may be the only other copy; writes wait meanwhile.
 """
 
@@ -23,7 +23,7 @@
     epoch: int
     primary: str
     backups: tuple[str, ...] = ()
-    joining: tuple[str, ...] = ()
+    learners: tuple[str, ...] = ()
 
     @property
     def members(self) -> tuple[str, ...]:
@@ -38,13 +38,13 @@
             "epoch": self.epoch,
             "primary": self.primary,
             "backups": list(self.backups),
-            "joining": list(self.joining),
+            "joining": list(self.learners),
         }
 
 
 @dataclass(frozen=True, slots=True)
 class Stores:
-    """What is known of the store_nodes: zone of each that lives, and who is to be emptied."""
+    """What is known of the job store nodes: zone of each that lives, and who is to be emptied."""
 
     zones: dict[str, str]
     retiring: frozenset[str] = field(default=frozenset())
@@ -77,7 +77,7 @@
 
 
 def found(parts: int, copies: int, stores: Stores) -> dict[int, Part]:
-    """The very first records, spread evenly; none while too few store_nodes live."""
+    """The very first records, spread evenly; none while too few job store nodes live."""
     if len(stores.usable) < copies:
         return {}
     load: Counter[str] = Counter()
@@ -95,13 +95,13 @@
     records: dict[int, Part], copies: int, stores: Stores, lost: Mapping[int, Collection[str]] = {}
 ) -> dict[int, Part]:
     """The records that change now, each under its next epoch. `lost`: by partition, whom its primary can't reach."""
-    load = Counter(m for r in records.values() for m in (*r.members, *r.joining))
+    load = Counter(m for r in records.values() for m in (*r.members, *r.learners))
     changes = {}
     for n, record in records.items():
         new = _repair(n, record, copies, stores.without(set(lost.get(n, ())) - {record.primary}), load)
         if new != record:
             changes[n] = replace(new, epoch=record.epoch + 1)
-    moving = sum(len(r.joining) > 0 for r in (records | changes).values())
+    moving = sum(len(r.learners) > 0 for r in (records | changes).values())
     if not changes and moving < MOVES:
         changes = _balance(records, copies, stores, MOVES - moving)
     return changes
@@ -116,28 +116,28 @@
         primary = next((m for m in living if m not in stores.retiring), living[0])
         # Danger: the dead one may be the only other that has all, if this one is lost too before another joins.
         backups = [m for m in record.members if m != primary]
-    joining = [j for j in record.joining if j in stores.zones and j not in stores.retiring]
+    learners = [j for j in record.learners if j in stores.zones and j not in stores.retiring]
     sound = [m for m in (primary, *backups) if m in stores.zones and m not in stores.retiring]
-    lacking = copies - len(sound) - len(joining)
+    lacking = copies - len(sound) - len(learners)
     if lacking > 0:
-        joining += _choose(n, lacking, (primary, *backups, *joining), stores, load)
-    return Part(record.epoch, primary, tuple(backups), tuple(joining))
+        learners += _choose(n, lacking, (primary, *backups, *learners), stores, load)
+    return Part(record.epoch, primary, tuple(backups), tuple(learners))
 
 
 def synced(record: Part, member: str, copies: int, stores: Stores) -> Part:
-    """A joiner has all: it is a backup now, and who is not needed any more leaves."""
+    """A learner has all: it is a backup now, and who is not needed any more leaves."""
     backups = [*record.backups, member]
-    joining = tuple(j for j in record.joining if j != member)
+    learners = tuple(j for j in record.learners if j != member)
     members = [record.primary, *backups]
     sound = [m for m in members if m in stores.zones and m not in stores.retiring]
     if len(sound) >= copies:
         members = [m for m in members if m in sound]
-    return Part(record.epoch + 1, members[0], tuple(members[1:]), joining)
+    return Part(record.epoch + 1, members[0], tuple(members[1:]), learners)
 
 
 def trim(record: Part, copies: int, load: Counter[str]) -> Part:
     """One copy more than needed, after a move: the member with most to do leaves."""
-    if len(record.members) <= copies or record.joining:
+    if len(record.members) <= copies or record.learners:
         return record
     leaving = max(record.members, key=lambda m: (load[m], m))
     members = [m for m in record.members if m != leaving]
@@ -146,7 +146,7 @@
 
 def _balance(records: dict[int, Part], copies: int, stores: Stores, moves: int) -> dict[int, Part]:
     load = Counter({m: 0 for m in stores.usable})
-    load.update(m for r in records.values() for m in (*r.members, *r.joining))
+    load.update(m for r in records.values() for m in (*r.members, *r.learners))
     changes: dict[int, Part] = {}
     for n, record in sorted(records.items()):
         trimmed = trim(record, copies, load)
@@ -162,12 +162,12 @@
         movable = [
             n
             for n, r in sorted(records.items())
-            if most in r.members and least not in r.members and not r.joining and n not in changes
+            if most in r.members and least not in r.members and not r.learners and n not in changes
         ]
         if not movable:
             break
         n = movable[0]
-        changes[n] = replace(records[n], epoch=records[n].epoch + 1, joining=(least,))
+        changes[n] = replace(records[n], epoch=records[n].epoch + 1, learners=(least,))
         load[least] += 1
         load[most] -= 1
     return changes or _even_heads(records, stores)
@@ -179,7 +179,7 @@
     heads.update(r.primary for r in records.values())
     for n, record in sorted(records.items()):
         for backup in record.backups:
-            if backup in heads and not record.joining and heads[record.primary] - heads[backup] > UNEVEN:
+            if backup in heads and not record.learners and heads[record.primary] - heads[backup] > UNEVEN:
                 others = tuple(m for m in record.members if m != backup)
                 return {n: Part(record.epoch + 1, backup, others)}
     return {}
--- a/otterreach/jobstore/__main__.py
+++ b/otterreach/jobstore/__main__.py
@@ -1,4 +1,7 @@
-"""The store_node: keeps batch jobs and their results. Settings come from the file that OTTERREACH_NODE_FILE names."""
+"""The job store node: keeps batch jobs and their results.
+
+Settings come from the file that OTTERREACH_NODE_FILE names.
+"""
 
 from __future__ import annotations
 
--- a/otterreach/jobstore/dispatch.py
+++ b/otterreach/jobstore/dispatch.py
@@ -61,7 +61,7 @@
 
     @property
     def load(self) -> float:
-        """Items there against its slots, those of other store_nodes included as far as they run."""
+        """Items there against its slots, those of other job store nodes included as far as they run."""
         return max(len(self.works), self.slots - self.free) / self.slots if self.slots > 0 else float("inf")
 
 
@@ -74,7 +74,7 @@
 
 
 class Host(Protocol):
-    """What the dispatch needs of the store_node."""
+    """What the dispatch needs of the job store node."""
 
     def may_run(self, part: int) -> bool:
         """Whether this machine is surely the primary of the partition now."""
@@ -103,7 +103,7 @@
 
     # Partitions and jobs -------------------------------------------------------------------------
 
-    def promoted(self, copy: Copy) -> None:
+    def became_leader(self, copy: Copy) -> None:
         """All open jobs of the partition are here now. Of one that is new here nothing is known of what runs."""
         if copy.part not in self.held_until:
             self.held_until[copy.part] = self.now() + SETTLE_S
@@ -113,7 +113,7 @@
             elif job.state is JobState.ENDED and job.id in self.open:
                 self.cancelled(job)
 
-    def deposed(self, copy: Copy) -> None:
+    def stepped_down(self, copy: Copy) -> None:
         """Another machine has the partition."""
         self.held_until.pop(copy.part, None)
         for job in [j for j in self.open.values() if part_of(j.id) == copy.part]:
--- a/otterreach/jobstore/messages.py
+++ b/otterreach/jobstore/messages.py
@@ -1,4 +1,4 @@
-"""What proxies and store_nodes, and store_nodes among themselves, say to each other."""
+"""What proxies and job store nodes, and job store nodes among themselves, say to each other."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 @message(60)
 @dataclass(slots=True)
 class Submit:
-    """Proxy to primary store_node: keep this batch job. Done, or a Failure (maybe_done: it may be kept)."""
+    """Proxy to primary job store node: keep this batch job. Done, or a Failure (maybe_done: it may be kept)."""
 
     job: str
     host: str  # of the route it came by
@@ -62,7 +62,7 @@
 @message(66)
 @dataclass(slots=True)
 class ProxyPing:
-    """Proxy to every store_node, each 250 ms, as a call."""
+    """Proxy to every job store node, each 250 ms, as a call."""
 
     node: str
     address: str
@@ -76,7 +76,7 @@
 @message(0)
 @dataclass(slots=True)
 class Held:
-    """A partition that the store_node serves as primary, with copies enough."""
+    """A partition that the job store node serves as primary, with copies enough."""
 
     part: int
     epoch: int
@@ -111,7 +111,7 @@
 @message(68)
 @dataclass(slots=True)
 class Assign:
-    """JobStoreNode to proxy, one way: run these. `left_ms` until the results are due, `wait_ms` until an item may be
+    """Job store node to proxy, one way: run these. `left_ms` until the results are due, `wait_ms` until an item may be
     given up (maxWaitS), both from the first time the batch job came."""
 
     part: int
@@ -162,7 +162,7 @@
 @message(72)
 @dataclass(slots=True)
 class CancelJob:
-    """JobStoreNode to proxy, one way: nothing of this batch job may go out any more."""
+    """Job store node to proxy, one way: nothing of this batch job may go out any more."""
 
     job: str
 
@@ -221,8 +221,8 @@
 @message(76)
 @dataclass(slots=True)
 class PartSynced:
-    """Primary store_node to the primary controller: this member has all of the partition now, and every write waits for
-    it. Done or a Failure. Counts only while the record's epoch is this one."""
+    """Primary job store node to the primary controller: this member has all of the partition now, and every write
+    waits for it. Done or a Failure. Counts only while the record's epoch is this one."""
 
     part: int
     epoch: int
@@ -264,7 +264,7 @@
 @message(80)
 @dataclass(slots=True)
 class PartLost:
-    """Primary store_node to the primary controller, one way: this backup hasn't answered it for `silent_ms`."""
+    """Primary job store node to the primary controller, one way: this backup hasn't answered it for `silent_ms`."""
 
     part: int
     epoch: int
--- a/otterreach/jobstore/node.py
+++ b/otterreach/jobstore/node.py
@@ -1,4 +1,4 @@
-"""The store_node: what proxies ask of it, put together from copies, replication and dispatch."""
+"""The job store node: what proxies ask of it, put together from copies, replication and dispatch."""
 
 from __future__ import annotations
 
@@ -22,6 +22,7 @@
     result_record,
     submit_record,
 )
+from otterreach.jobstore.leadership import PartitionLeader, finish
 from otterreach.jobstore.messages import (
     CancelJob,
     EndJob,
@@ -39,7 +40,7 @@
 )
 from otterreach.jobstore.partition import Copy, Mark, part_in
 from otterreach.jobstore.placement import PARTITIONS, part_of
-from otterreach.jobstore.replication import JournalLike, Office, Replication, finish
+from otterreach.jobstore.replication import JournalLike, Replication
 from otterreach.runtime import identity
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.journal import Record
@@ -48,7 +49,7 @@
 from otterreach.runtime.rpc import Done, Link
 
 TICK_S = 0.1
-TEND_S = 1.0
+RECONCILE_S = 1.0
 WRITE_S = 2.5  # a write that isn't at all copies by then is answered as perhaps done
 SETTLE_S = 0.3  # for that, at a stop
 MAX_WAIT_S = 5.0
@@ -108,7 +109,7 @@
         if not await self.journal.sync():
             return
         self.replication.follow_all()
-        for work in (self.replication.ping_loop(), self._ticks(), self._tends()):
+        for work in (self.replication.pings.run(), self._ticks(), self._reconcile_loop()):
             self.replication.spawn(work)
 
     async def stop(self) -> None:
@@ -129,14 +130,14 @@
         if change.kind in (Kind.RESULT, Kind.END):
             self._wake(job.id)
 
-    def promoted(self, copy: Copy) -> None:
-        self.dispatch.promoted(copy)
+    def became_leader(self, copy: Copy) -> None:
+        self.dispatch.became_leader(copy)
         for job in list(self._readers):
             if part_of(job) == copy.part:
                 self._wake(job)
 
-    def deposed(self, copy: Copy) -> None:
-        self.dispatch.deposed(copy)
+    def stepped_down(self, copy: Copy) -> None:
+        self.dispatch.stepped_down(copy)
         for job in list(self._readers):
             if part_of(job) == copy.part:
                 self._wake(job)
@@ -148,8 +149,8 @@
     # Host of the dispatch ------------------------------------------------------------------------
 
     def may_run(self, part: int) -> bool:
-        office = self.replication.offices.get(part)
-        return office is not None and office.fresh and not self.stopping
+        leader = self.replication.leaders.get(part)
+        return leader is not None and leader.fresh and not self.stopping
 
     def epoch(self, part: int) -> int:
         return self.replication.copies[part].epoch
@@ -201,37 +202,37 @@
         return settings.disk_mb > 0 and self.journal.size > DISK_SHARE * settings.disk_mb * 1e6
 
     async def _on_submit(self, link: Link, ask: Submit) -> Done | Failure:
-        office = self.replication.office(part_of(ask.job))
-        if isinstance(office, Failure):
-            return office
-        job = office.copy.jobs.get(ask.job)
+        leader = self.replication.leader(part_of(ask.job))
+        if isinstance(leader, Failure):
+            return leader
+        job = leader.copy.jobs.get(ask.job)
         if job is not None:
-            return await self._when_copied(office.copy, job.index)
+            return await self._when_copied(leader.copy, job.index)
         if self.stopping or self._full():
             return Failure(Code.NOT_SYNCED, "stopping" if self.stopping else "full")
         read = read_job(ask.job, ask.host, ask.route, ask.body, self.loop.time())
         if isinstance(read, Failure):
             return read
-        index = office.append(submit_record(ask.job, ask.host, ask.route, ask.body), read)
-        return await self._when_copied(office.copy, index)
+        index = leader.append(submit_record(ask.job, ask.host, ask.route, ask.body), read)
+        return await self._when_copied(leader.copy, index)
 
     async def _when_copied(self, copy: Copy, index: int) -> Done | Failure:
         if await self.replication.committed(copy, index, WRITE_S):
             return Done()
         return Failure(Code.TIMED_OUT, "not at all copies in time")
 
-    def _readable(self, job: str) -> Office | Failure:
-        """The office, if it is surely the only one now."""
-        office = self.replication.office(part_of(job))
-        if isinstance(office, Failure) or office.fresh:
-            return office
+    def _readable(self, job: str) -> PartitionLeader | Failure:
+        """This machine's leadership, if it is surely the only one now."""
+        leader = self.replication.leader(part_of(job))
+        if isinstance(leader, Failure) or leader.fresh:
+            return leader
         return Failure(Code.NOT_SYNCED, "not surely primary now")
 
     def _find(self, job_id: str) -> Job | Failure:
-        office = self._readable(job_id)
-        if isinstance(office, Failure):
-            return office
-        job = office.copy.jobs.get(job_id)
+        leader = self._readable(job_id)
+        if isinstance(leader, Failure):
+            return leader
+        job = leader.copy.jobs.get(job_id)
         if job is None:
             return Failure(Code.UNKNOWN_JOB, job_id)
         return job if job.settled else Failure(Code.NOT_SYNCED, "not yet at all copies")
@@ -270,43 +271,43 @@
         item = job.items.get(ask.item)
         if item is None:
             return Failure(Code.UNKNOWN_ITEM, ask.item)
-        office = self.replication.offices[part_of(ask.job)]
-        if item.state is ItemState.LISTED and item.index <= office.committed:
+        leader = self.replication.leaders[part_of(ask.job)]
+        if item.state is ItemState.LISTED and item.index <= leader.committed:
             return Failure(Code.UNKNOWN_ITEM, "listed")
         return Failure(Code.JOB_ENDED, ask.job) if job.ended else ItemBody(item.body)
 
     async def _on_end(self, link: Link, ask: EndJob) -> Done | Failure:
-        office = self.replication.office(part_of(ask.job))
-        if isinstance(office, Failure):
-            return office
-        job = office.copy.jobs.get(ask.job)
+        leader = self.replication.leader(part_of(ask.job))
+        if isinstance(leader, Failure):
+            return leader
+        job = leader.copy.jobs.get(ask.job)
         if job is None:
             readable = self._readable(ask.job)
             return readable if isinstance(readable, Failure) else Failure(Code.UNKNOWN_JOB, ask.job)
         if job.state is JobState.ENDED:
-            return await self._when_copied(office.copy, job.end_index)
-        return await self._when_copied(office.copy, office.append(end_record(job.id)))
+            return await self._when_copied(leader.copy, job.end_index)
+        return await self._when_copied(leader.copy, leader.append(end_record(job.id)))
 
     # Items ---------------------------------------------------------------------------------------
 
     async def _on_finished(self, link: Link, ask: Finished) -> Done | Failure:
-        office = self.replication.office(part_of(ask.job))
-        if isinstance(office, Failure):
-            return office
-        job = office.copy.jobs.get(ask.job)
+        leader = self.replication.leader(part_of(ask.job))
+        if isinstance(leader, Failure):
+            return leader
+        job = leader.copy.jobs.get(ask.job)
         item = job.items.get(ask.item) if job else None
         if job is None or item is None:
             readable = self._readable(ask.job)
             if isinstance(readable, Failure):
                 return readable
             return Failure(Code.UNKNOWN_ITEM if job else Code.UNKNOWN_JOB, ask.item)
-        over = await self._over(office.copy, job, item)
+        over = await self._over(leader.copy, job, item)
         if over is not None:
             return over
         refusal = self._judge(job, item, ask)
         if refusal is not None:
             return refusal
-        return await self._list(office, job, item, ask)
+        return await self._list(leader, job, item, ask)
 
     async def _over(self, copy: Copy, job: Job, item: JobItem) -> Failure | None:
         """If nothing may be listed for the item any more: why, once that is at all copies."""
@@ -348,32 +349,32 @@
             return "the route is there"
         return ""
 
-    async def _list(self, office: Office, job: Job, item: JobItem, ask: Finished) -> Done | Failure:
-        index = office.append(result_record(job.id, item.id, encode_result(job, ask)))
+    async def _list(self, leader: PartitionLeader, job: Job, item: JobItem, ask: Finished) -> Done | Failure:
+        index = leader.append(result_record(job.id, item.id, encode_result(job, ask)))
         self.dispatch.listed(job, item)
-        return await self._when_copied(office.copy, index)
+        return await self._when_copied(leader.copy, index)
 
     async def _on_ping(self, link: Link, ask: ProxyPing) -> Pong:
         link.peer = ask.node
         self.dispatch.pinged(link, ask)
-        held = [Held(part, o.epoch, int(o.age() * 1000)) for part, o in self.replication.offices.items() if o.fresh]
+        held = [Held(part, o.epoch, int(o.age() * 1000)) for part, o in self.replication.leaders.items() if o.fresh]
         return Pong(ask.sent_ms, held, [job for job in ask.jobs if self._is_over(job)])
 
     def _is_over(self, job_id: str) -> bool:
         """Whether nothing of the batch job may run; only said while this machine is surely its primary."""
-        office = self._readable(job_id)
-        if isinstance(office, Failure):
+        leader = self._readable(job_id)
+        if isinstance(leader, Failure):
             return False
-        job = office.copy.jobs.get(job_id)
+        job = leader.copy.jobs.get(job_id)
         return job is None or job.ended
 
     async def _on_running(self, link: Link, ask: Running) -> Done | Failure:
-        office = self.replication.office(ask.part)
-        if isinstance(office, Failure):
-            return office
+        leader = self.replication.leader(ask.part)
+        if isinstance(leader, Failure):
+            return leader
         for entry in ask.items:
             job_id, _, item_id = entry.partition(" ")
-            job = office.copy.jobs.get(job_id)
+            job = leader.copy.jobs.get(job_id)
             if job and not job.ended:
                 self.dispatch.runs(ask.node, job, item_id)
             elif self._is_over(job_id):
@@ -392,33 +393,33 @@
             if self.journal.failed is not None:
                 self.node.stopping.set()
 
-    async def _tends(self) -> None:
+    async def _reconcile_loop(self) -> None:
         while not self.stopping:
-            await asyncio.sleep(TEND_S)
+            await asyncio.sleep(RECONCILE_S)
             self._expire()
-            await self.replication.tend()
+            await self.replication.reconcile()
             await self._rewrite()
 
     def _expire(self) -> None:
         """List what may be given up; drop ended batch jobs that nobody may read any more."""
         now, keep = self.loop.time(), self.node.settings.bounds.status_s + KEEP_MARGIN_S
-        for office in list(self.replication.offices.values()):
-            if not office.fresh:
+        for leader in list(self.replication.leaders.values()):
+            if not leader.fresh:
                 continue
-            for job in list(office.copy.jobs.jobs.values()):
+            for job in list(leader.copy.jobs.jobs.values()):
                 if job.ended and now - job.at > keep:
-                    office.append(drop_record(job.id))
+                    leader.append(drop_record(job.id))
                 elif job.state is JobState.OPEN and job.settled:
-                    self._give_up(office, job, now)
+                    self._give_up(leader, job, now)
 
-    def _give_up(self, office: Office, job: Job, now: float) -> None:
+    def _give_up(self, leader: PartitionLeader, job: Job, now: float) -> None:
         waited = now - job.at > self.terms(job).max_wait_s + WAIT_MARGIN_S
         if not waited and not self._route_gone(job):
             return
         for item in job.items.values():
             if item.state is ItemState.PENDING:
                 finished = Finished(job.id, item.id, "errored", "waited" if waited else "route_gone", "", [], "")
-                office.append(result_record(job.id, item.id, encode_result(job, finished)))
+                leader.append(result_record(job.id, item.id, encode_result(job, finished)))
                 self.dispatch.listed(job, item)
 
     async def _rewrite(self) -> None:
--- a/otterreach/jobstore/partition.py
+++ b/otterreach/jobstore/partition.py
@@ -27,7 +27,7 @@
 NOWHERE: Position = (-1, 0)
 
 
-class Kept(Protocol):
+class RecordLog(Protocol):
     """The part of the journal that a copy uses."""
 
     def append(self, kind: int, payload: bytes) -> None: ...
@@ -37,7 +37,7 @@
     """Kinds of journal records."""
 
     DISK = 1  # the id of the disk
-    EPOCH = 2  # of a partition, with the joiners that its writes wait for
+    EPOCH = 2  # of a partition, with the learners that its writes wait for
     RECORD = 3  # one more record of a partition
     BEGIN = 4  # a whole copy follows, which is in force from its END on
     LOAD = 5
@@ -47,7 +47,7 @@
 
 class CopyState(Enum):
     ABSENT = "absent"
-    JOINING = "joining"  # to be filled by the primary
+    LEARNER = "learner"  # to be filled by the primary
     BACKUP = "backup"
     SYNCING = "primary-syncing"  # answers nothing until all backups stand where it stands
     SERVING = "primary-serving"
@@ -55,12 +55,12 @@
 
 
 MOVES: dict[CopyState, set[CopyState]] = {
-    CopyState.ABSENT: {CopyState.JOINING, CopyState.BACKUP, CopyState.SYNCING, CopyState.FENCED},
-    CopyState.JOINING: {CopyState.BACKUP, CopyState.SYNCING, CopyState.FENCED},
-    CopyState.BACKUP: {CopyState.JOINING, CopyState.SYNCING, CopyState.FENCED},
+    CopyState.ABSENT: {CopyState.LEARNER, CopyState.BACKUP, CopyState.SYNCING, CopyState.FENCED},
+    CopyState.LEARNER: {CopyState.BACKUP, CopyState.SYNCING, CopyState.FENCED},
+    CopyState.BACKUP: {CopyState.LEARNER, CopyState.SYNCING, CopyState.FENCED},
     CopyState.SYNCING: {CopyState.SERVING, CopyState.FENCED},
     CopyState.SERVING: {CopyState.SYNCING, CopyState.FENCED},
-    CopyState.FENCED: {CopyState.ABSENT, CopyState.JOINING, CopyState.BACKUP, CopyState.SYNCING},
+    CopyState.FENCED: {CopyState.ABSENT, CopyState.LEARNER, CopyState.BACKUP, CopyState.SYNCING},
 }
 
 
@@ -84,13 +84,13 @@
 class Copy:
     """A partition at this machine."""
 
-    def __init__(self, part: int, journal: Kept, now: Callable[[], float]) -> None:
+    def __init__(self, part: int, journal: RecordLog, now: Callable[[], float]) -> None:
         self.part, self.journal, self.now = part, journal, now
         self.state = CopyState.ABSENT
         self.epoch = 0  # nothing lower is taken part in
         self.placement: Placement | None = None  # of this epoch, once known
-        self.declared: set[str] = set()  # joiners of this epoch that writes wait for
-        self.virgin = True  # never had a copy
+        self.in_sync: set[str] = set()  # learners of this epoch that writes wait for
+        self.uninitialised = True  # never had a copy
         self.whole = False  # has a copy
         self.index, self.chain = 0, 0
         self.jobs = Jobs()
@@ -133,19 +133,19 @@
         """Nothing lower from here on; on disk with the next sync, before anything is done under it."""
         if epoch > self.epoch:
             self.epoch, self.placement, self.session = epoch, None, 0
-            self.declared = set()
-            self._note_epoch()
+            self.in_sync = set()
+            self._record_epoch()
 
-    def declare(self, member: str) -> None:
-        """Writes wait for this joiner from now on; on disk with the next sync."""
-        self.declared.add(member)
-        self._note_epoch()
+    def add_in_sync(self, member: str) -> None:
+        """Writes wait for this learner from now on; on disk with the next sync."""
+        self.in_sync.add(member)
+        self._record_epoch()
 
-    def _note_epoch(self) -> None:
+    def _record_epoch(self) -> None:
         self.journal.append(Mark.EPOCH, self._epoch_payload())
 
     def _epoch_payload(self) -> bytes:
-        return json.dumps([self.part, self.epoch, sorted(self.declared)]).encode()
+        return json.dumps([self.part, self.epoch, sorted(self.in_sync)]).encode()
 
     def start_empty(self) -> None:
         """A member of the record without a trace of a copy: nothing was ever acknowledged, for it waits for members."""
@@ -253,7 +253,7 @@
         self.jobs, self.staged = jobs, None
         self.index, self.chain = position
         self.floor = self.index
-        self.whole, self.virgin = True, False
+        self.whole, self.uninitialised = True, False
         self.lineage += 1
 
     def drop(self) -> None:
@@ -278,7 +278,7 @@
             for entry in self.jobs.snapshot(self.now()):
                 yield Mark.LOAD, _RECORD.pack(self.part, entry.kind) + entry.body
             yield Mark.END, _RECORD.pack(self.part, 0)
-        elif not self.virgin:
+        elif not self.uninitialised:
             yield Mark.DROPPED, _RECORD.pack(self.part, 0)
         if self.staged:
             yield Mark.BEGIN, json.dumps([self.part, *self.staged.position]).encode()
@@ -288,8 +288,8 @@
     def replay(self, mark: int, payload: bytes) -> None:
         """Take a journal record of this partition at the start. Ages are counted from now."""
         if mark == Mark.EPOCH:
-            _, epoch, declared = json.loads(payload)
-            self.epoch, self.declared = epoch, set(declared)
+            _, epoch, in_sync = json.loads(payload)
+            self.epoch, self.in_sync = epoch, set(in_sync)
         elif mark == Mark.BEGIN:
             _, index, chain = json.loads(payload)
             self.staged = Staged(0, (index, chain), Jobs(), [])
--- a/otterreach/jobstore/placement.py
+++ b/otterreach/jobstore/placement.py
@@ -22,7 +22,7 @@
     epoch: int
     primary: str
     backups: tuple[str, ...]
-    joining: tuple[str, ...]
+    learners: tuple[str, ...]
 
     @property
     def members(self) -> tuple[str, ...]:
@@ -34,8 +34,8 @@
     """The record from an item `part/<n>`; None if there is none or it can't be read."""
     if not isinstance(value, dict) or not isinstance(value.get("epoch"), int):
         return None
-    backups, joining = value.get("backups") or [], value.get("joining") or []
-    return Placement(value["epoch"], str(value.get("primary") or ""), tuple(backups), tuple(joining))
+    backups, learners = value.get("backups") or [], value.get("joining") or []
+    return Placement(value["epoch"], str(value.get("primary") or ""), tuple(backups), tuple(learners))
 
 
 RUNNER_ROOM = 1.3  # slots of the proxies that run items, for each slot of the servers
@@ -44,8 +44,8 @@
 
 def runners(slots: Mapping[str, int], wanted: int) -> list[str]:
     """The proxies that run items, of those that live (node -> items it may run at once): the first ones of an order
-    that all store_nodes share, as many as fill the servers' slots. Few proxies need few connections to a server, and
-    each sees more of its load."""
+    that all job store nodes share, as many as fill the servers' slots. Few proxies need few connections to a server,
+    and each sees more of its load."""
     chosen: list[str] = []
     room = 0
     for node in sorted(slots, key=lambda node: (zlib.crc32(node.encode()), node)):
--- a/tests/jobstore_world.py
+++ b/tests/jobstore_world.py
@@ -13,6 +13,7 @@
 
 from otterreach.controller import planner
 from otterreach.jobstore.jobs import Kind
+from otterreach.jobstore.leadership import PartitionLeader
 from otterreach.jobstore.messages import (
     Assign,
     CancelJob,
@@ -32,7 +33,6 @@
 from otterreach.jobstore.node import JobStoreNode
 from otterreach.jobstore.partition import Copy, CopyState
 from otterreach.jobstore.placement import PARTITIONS, part_of
-from otterreach.jobstore.replication import Office
 from otterreach.runtime import settings as settings_module
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.identity import member
@@ -128,8 +128,8 @@
     def copy(self, job: str) -> Copy:
         return self.store_node.replication.copies[part_of(job)]
 
-    def office(self, job: str) -> Office | None:
-        return self.store_node.replication.offices.get(part_of(job))
+    def leader(self, job: str) -> PartitionLeader | None:
+        return self.store_node.replication.leaders.get(part_of(job))
 
 
 class World:
@@ -218,7 +218,7 @@
         record = self.parts()[told.part]
         if record.epoch != told.epoch:
             return Failure(Code.STALE_EPOCH, "another epoch")
-        if told.member in record.joining:
+        if told.member in record.learners:
             self.put(f"part/{told.part}", planner.synced(record, told.member, self.copies, self.known()).json())
         return Done()
 
@@ -237,8 +237,8 @@
         end = loop.time() + within_s
         while loop.time() < end:
             for store in self.stores.values():
-                office = store.office(job) if store.running else None
-                if office and office.fresh:
+                leader = store.leader(job) if store.running else None
+                if leader and leader.fresh:
                     return store
             await asyncio.sleep(0.02)
         raise AssertionError(f"nobody serves {job}")
--- a/tests/test_jobstore_copies.py
+++ b/tests/test_jobstore_copies.py
@@ -242,20 +242,20 @@
             await client.submit("a")
             world.controller.handlers.clear()  # PartSynced is heard by nobody
             primary, backup = world.primary_of("a"), world.backup_of("a")
-            joiner = next(s for s in world.stores.values() if s not in (primary, backup))
+            learner = next(s for s in world.stores.values() if s not in (primary, backup))
             part = primary.copy("a").part
             record = world.parts()[part]
-            world.put(f"part/{part}", {**record.json(), "epoch": record.epoch + 1, "joining": [joiner.node.member]})
+            world.put(f"part/{part}", {**record.json(), "epoch": record.epoch + 1, "joining": [learner.node.member]})
             await asyncio.sleep(0.5)
-            self.assertEqual({joiner.node.member}, primary.copy("a").declared)
-            joiner.stop()
+            self.assertEqual({learner.node.member}, primary.copy("a").in_sync)
+            learner.stop()
             self.assertIsInstance(await client.finish("a", 0), Failure)
             primary.stop()
             primary.start()
             await asyncio.sleep(0.5)
-            self.assertEqual({joiner.node.member}, primary.copy("a").declared)
+            self.assertEqual({learner.node.member}, primary.copy("a").in_sync)
             self.assertIsInstance(await client.finish("a", 0), Failure)
-            joiner.start()
+            learner.start()
             await world.serving("a")
             self.assertIsInstance(await client.finish("a", 1), Done)
 
@@ -306,7 +306,7 @@
             await asyncio.sleep(15.0)
             part = old.copy("a").part
             record = world.parts()[part]
-            self.assertNotIn(old.node.member, (*record.members, *record.joining))
+            self.assertNotIn(old.node.member, (*record.members, *record.learners))
             self.assertIs(CopyState.ABSENT, old.copy("a").state)
             self.assertFalse(old.copy("a").jobs.jobs)
 
--- a/tests/test_jobstore_troubles.py
+++ b/tests/test_jobstore_troubles.py
@@ -233,8 +233,8 @@
         members = [self.world.stores[m.partition("#")[0]] for m in part.members]
         if len(members) < 2 or any(m not in self.world.alive for m in part.members):
             return False
-        office = members[0].store_node.replication.offices.get(n)
-        return bool(office and office.fresh and office.epoch == part.epoch)
+        leader = members[0].store_node.replication.leaders.get(n)
+        return bool(leader and leader.fresh and leader.epoch == part.epoch)
 
     # The day -------------------------------------------------------------------------------------
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -33,9 +33,9 @@
 
     def test_a_dead_primary_gives_way_to_a_living_backup_and_another_joins(self) -> None:
         new = plan({0: Part(4, "a#1", ("b#1",))}, 2, stores("b#1", "c#1"))[0]
-        self.assertEqual((new.epoch, new.primary, new.backups, new.joining), (5, "b#1", ("a#1",), ("c#1",)))
+        self.assertEqual((new.epoch, new.primary, new.backups, new.learners), (5, "b#1", ("a#1",), ("c#1",)))
         done = synced(new, "c#1", 2, stores("b#1", "c#1"))
-        self.assertEqual((done.primary, done.backups, done.joining), ("b#1", ("c#1",), ()))
+        self.assertEqual((done.primary, done.backups, done.learners), ("b#1", ("c#1",), ()))
 
     def test_all_held_dead_one_after_the_other_leaves_whoever_has_all_in_the_record(self) -> None:
         records = {0: Part(4, "a#1", ("b#1",))}
@@ -46,21 +46,21 @@
 
     def test_a_dead_backup_stays_until_a_joiner_has_all(self) -> None:
         new = plan({0: Part(4, "a#1", ("b#1",))}, 2, stores("a#1", "c#1"))[0]
-        self.assertEqual((new.primary, new.backups, new.joining), ("a#1", ("b#1",), ("c#1",)))
+        self.assertEqual((new.primary, new.backups, new.learners), ("a#1", ("b#1",), ("c#1",)))
         done = synced(new, "c#1", 2, stores("a#1", "c#1"))
-        self.assertEqual((done.epoch, done.backups, done.joining), (6, ("c#1",), ()))
+        self.assertEqual((done.epoch, done.backups, done.learners), (6, ("c#1",), ()))
 
     def test_with_no_member_alive_nothing_changes(self) -> None:
         self.assertEqual(plan({0: Part(4, "a#1", ("b#1",))}, 2, stores("c#1", "d#1")), {})
 
     def test_a_wiped_member_is_another_and_never_takes_over(self) -> None:
         new = plan({0: Part(4, "a#1", ("b#1",))}, 2, stores("a#2", "b#1"))[0]
-        self.assertEqual((new.primary, new.joining), ("b#1", ("a#2",)))
+        self.assertEqual((new.primary, new.learners), ("b#1", ("a#2",)))
 
     def test_a_retiring_member_leaves_only_after_another_has_all(self) -> None:
         record = Part(1, "a#1", ("b#1",))
         new = plan({0: record}, 2, stores("a#1", "b#1", "c#1", retiring=("a#1",)))[0]
-        self.assertEqual((new.members, new.joining), (record.members, ("c#1",)))
+        self.assertEqual((new.members, new.learners), (record.members, ("c#1",)))
         done = synced(new, "c#1", 2, stores("a#1", "b#1", "c#1", retiring=("a#1",)))
         self.assertEqual(set(done.members), {"b#1", "c#1"})
 
@@ -73,7 +73,7 @@
                 break
             records |= changes
             for n, record in list(records.items()):
-                for joiner in record.joining:
+                for joiner in record.learners:
                     records[n] = synced(records[n], joiner, 2, all_of)
         self.assertEqual(changes, {})
         load = Counter(m for r in records.values() for m in r.members)
@@ -94,8 +94,8 @@
                 records[n] = new
             if sync:
                 for n, record in list(records.items()):
-                    if record.primary in living and record.joining:
-                        records[n] = synced(record, record.joining[0], 2, now)
+                    if record.primary in living and record.learners:
+                        records[n] = synced(record, record.learners[0], 2, now)
                         self.assertGreaterEqual(len(records[n].members), 2)
 
 
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from otterreach.controller.replication import Control
-from otterreach.jobstore.replication import Office
+from otterreach.jobstore.leadership import PartitionLeader
 from otterreach.runtime import rpc
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.rpc import Done, Endpoint, Link
@@ -323,7 +323,7 @@
             self.assertNotEqual("", self.found(control.run, 8))
 
     def test_acknowledged_without_the_backups(self) -> None:
-        with mock.patch.object(Office, "counted", property(lambda office: [])):
+        with mock.patch.object(PartitionLeader, "required", property(lambda leader: [])):
             self.assertNotEqual("", self.found(jobs.run, 8))
 
     def test_disk_that_syncs_nothing(self) -> None:
