An answer over HTTP between processes goes to its own call or to none

Cause: JsonClient kept a connection whose call had been cancelled, with the answer still to come; the next call, to another path, got it. An extra answer that came late did the same.

Change: a connection belongs to one call until the last byte of its answer, each call has a Request-Id, and only a whole answer with that id and nothing after it makes the connection reusable. All other ends close it. What was not written whole, or never connected, is UNREACHABLE: not done. The client is a module of its own. JsonServer gives the id back; it no longer begins what a caller asked before it left or after an answer that closed, is not cut in the middle of a call by the time at rest, and announces 100 only after the answers before it.

--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -16,7 +16,8 @@
 from otterreach.proxy.requests import Requests, path_of, text, whole_number
 from otterreach.proxy.runner import Runner
 from otterreach.proxy.streams import Streams
-from otterreach.runtime.http import JsonClient, JsonServer, Reply
+from otterreach.runtime.http import JsonServer, Reply
+from otterreach.runtime.http_client import JsonClient
 from otterreach.runtime.log import log
 from otterreach.runtime.node import Node, on_signals
 from otterreach.runtime.settings import Settings
--- a/otterreach/proxy/orders.py
+++ b/otterreach/proxy/orders.py
@@ -14,7 +14,7 @@
 
 from otterreach.proxy.messages import Loaded, Release
 from otterreach.runtime.codes import Failure
-from otterreach.runtime.http import JsonClient
+from otterreach.runtime.http_client import JsonClient
 from otterreach.runtime.log import log
 from otterreach.runtime.node import Node
 
--- a/otterreach/runtime/http.py
+++ b/otterreach/runtime/http.py
@@ -7,14 +7,15 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.log import log
-from otterreach.runtime.rpc import tune
 from otterreach.sidecar import http1
+from otterreach.sidecar.transport import AcceptedConnection
 
 MAX_BODY = 36 * 1024 * 1024
 IDLE_S = 75.0
 LINGER_S = 2.0  # after an error: so long the client may go on sending before it is cut off
+MOST_PIPELINED = 8  # requests read ahead on one connection
+REQUEST_ID = b"request-id"  # given back in the answer
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,7 +29,8 @@
 Handle = Callable[[http1.Request], Awaitable[Reply]]
 
 
-def encode_reply(reply: Reply, close: bool) -> bytes:
+def encode_reply(reply: Reply, close: bool, ident: bytes | None = None) -> bytes:
+    """`ident`: the id that the request bore, by which its caller knows the answer."""
     head = [
         f"HTTP/1.1 {reply.status} ".encode() + http1.PHRASES.get(reply.status, b"Status"),
         b"Content-Length: %d" % len(reply.body),
@@ -36,74 +38,115 @@
     if reply.body:
         head.append(b"Content-Type: " + reply.content_type.encode())
     head += [f"{name}: {value}".encode() for name, value in reply.headers]
+    if ident is not None:
+        head.append(b"Request-Id: " + ident)
     if close:
         head.append(b"Connection: close")
     return b"\r\n".join(head) + b"\r\n\r\n" + reply.body
 
 
-class _Caller(asyncio.Protocol):
+class _Caller(AcceptedConnection):
     """One connection: its requests are answered in order."""
 
     def __init__(self, server: JsonServer) -> None:
+        super().__init__()
         self.server = server
         self._parser = http1.RequestParser(MAX_BODY)
         self._queue: deque[http1.Request] = deque()
-        self._transport: asyncio.Transport | None = None
         self._working: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._ended = False  # no further request is begun on it
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        super().connection_made(transport)
         self.server.callers.add(self)
-        self._rest()
+        self._rest(IDLE_S)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.callers.discard(self)
+        self._ended = True
+        self._queue.clear()  # nobody would read their answers
         self._parser.close()
-        if self._timer:
-            self._timer.cancel()
+        self._stop_timer()
 
-    def _rest(self, seconds: float = IDLE_S) -> None:
+    def _stop_timer(self) -> None:
         if self._timer:
             self._timer.cancel()
-        self._timer = asyncio.get_running_loop().call_later(seconds, self.abort)
+            self._timer = None
+
+    def _rest(self, seconds: float) -> None:
+        self._stop_timer()
+        if not self._ended:
+            self._timer = asyncio.get_running_loop().call_later(seconds, self._rested)
+
+    def _rested(self) -> None:
+        """Danger: a request may wait in the kernel, and would be lost with its connection."""
+        if self.unread and not self._parser.error:
+            self._rest(IDLE_S)
+        else:
+            self.abort()
 
     def abort(self) -> None:
         if self._transport:
             self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
+        if self._ended:
+            return
         self._queue.extend(self._parser.feed(data))
-        if self._parser.wants_continue and self._transport and not self._working:
+        if len(self._queue) > MOST_PIPELINED and self._transport:
+            self._transport.pause_reading()
+        if self._working:
+            return
+        self._announce()
+        if self._queue or self._parser.error:
+            self._stop_timer()
+            self._working = asyncio.ensure_future(self._work())
+
+    def _announce(self) -> None:
+        """The caller waits to be told to send its body. Danger: not before the answers to what it asked earlier."""
+        if self._parser.wants_continue and not self._queue and self._transport:
             self._parser.wants_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if not self._working and (self._queue or self._parser.error):
-            self._working = asyncio.ensure_future(self._work())
 
     async def _work(self) -> None:
-        while self._queue:
+        while self._queue and not self._ended:
             request = self._queue.popleft()
-            try:
-                reply = await self.server.handle(request)
-            except Exception as error:  # a fault in one call ends that call, not the process
-                log("call_failed", level="ERROR", target=request.target.decode("latin-1"), error=repr(error))
-                reply = Reply(500)
-            close = not request.keep_alive or self.server.stopping
-            if self._transport and not self._transport.is_closing():
-                self._transport.write(encode_reply(reply, close))
-                if close:
-                    self._transport.close()
+            if len(self._queue) <= MOST_PIPELINED and self._transport:
+                self._transport.resume_reading()
+            self._respond(request, await self._handle(request))
         self._working = None
-        if self._parser.error and self._transport and not self._transport.is_closing():
+        if self._ended or self._transport is None or self._transport.is_closing():
+            return
+        if self._parser.error:
             self._transport.write(encode_reply(Reply(int(self._parser.error)), True))
-            self._transport.write_eof()
+            if self._transport.can_write_eof():
+                self._transport.write_eof()
             self._rest(LINGER_S)
         else:
-            self._rest()
+            self._announce()
+            self._rest(IDLE_S)
+
+    async def _handle(self, request: http1.Request) -> Reply:
+        try:
+            return await self.server.handle(request)
+        except Exception as error:  # a fault in one call ends that call, not the process
+            log("call_failed", level="ERROR", target=request.target.decode("latin-1"), error=repr(error))
+            return Reply(500)
+
+    def _respond(self, request: http1.Request, reply: Reply) -> None:
+        close = not request.keep_alive or self.server.stopping
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._transport.write(encode_reply(reply, close, request.headers.get(REQUEST_ID)))
+        if close:
+            self._ended = True
+            self._queue.clear()
+            self._transport.close()
 
     def leave(self) -> None:
-        if not self._working and not self._queue and self._transport:
+        """The server stops: what rests is closed, and what has not come whole. Danger: not what is yet unread."""
+        if not self._working and not self._queue and not self.unread and self._transport:
             self._transport.close()
 
 
@@ -128,109 +171,3 @@
             self._server.close()
         for caller in list(self.callers):
             caller.leave()
-
-
-class _Exchange(asyncio.Protocol):
-    """One kept connection of the client: one call at a time."""
-
-    def __init__(self) -> None:
-        self.closed = False
-        self._transport: asyncio.Transport | None = None
-        self._parser: http1.ResponseParser | None = None
-        self._answer: asyncio.Future[http1.Response | None] | None = None
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        tune(transport.get_extra_info("socket"))
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.closed = True
-        self._settle(None)
-
-    def data_received(self, data: bytes) -> None:
-        if self._parser is None or self._answer is None:
-            self.abort()  # nothing was asked
-            return
-        response = self._parser.feed(data)
-        if response is not None:
-            if not response.keep_alive:
-                self.abort()
-            self._settle(response)
-        elif self._parser.broken:
-            self.abort()
-            self._settle(None)
-
-    def _settle(self, response: http1.Response | None) -> None:
-        answer, self._answer = self._answer, None
-        if self._parser:
-            self._parser.close()
-            self._parser = None
-        if answer and not answer.done():
-            answer.set_result(response)
-
-    def ask(self, data: bytes) -> asyncio.Future[http1.Response | None]:
-        self._answer = asyncio.get_running_loop().create_future()
-        self._parser = http1.ResponseParser()
-        if self._transport:
-            self._transport.write(data)
-        return self._answer
-
-    def abort(self) -> None:
-        self.closed = True
-        if self._transport:
-            self._transport.abort()
-
-
-class JsonClient:
-    """Calls with JSON bodies, one kept connection for each address: new ones are dear."""
-
-    def __init__(self) -> None:
-        self._kept: dict[str, _Exchange] = {}
-        self._busy: dict[str, asyncio.Lock] = {}
-
-    async def call(
-        self,
-        address: str,
-        method: str,
-        path: str,
-        body: bytes,
-        timeout_s: float,
-        may: Callable[[], bool] = lambda: True,
-    ) -> Reply | Failure:
-        """The answer; TIMED_OUT and CLOSED leave open whether it was done. `may` is asked right before it is written:
-        a connection may take its time."""
-        lock = self._busy.setdefault(address, asyncio.Lock())
-        async with lock:
-            try:
-                async with asyncio.timeout(timeout_s):
-                    return await self._call(address, method, path, body, may)
-            except TimeoutError:
-                self.forget(address)
-                return Failure(Code.TIMED_OUT, f"{address}: no answer in time")
-            except OSError as error:
-                return Failure(Code.UNREACHABLE, f"{address}: {type(error).__name__}")
-
-    async def _call(
-        self, address: str, method: str, path: str, body: bytes, may: Callable[[], bool]
-    ) -> Reply | Failure:
-        exchange = self._kept.get(address)
-        if exchange is None or exchange.closed:
-            host, _, port = address.rpartition(":")
-            loop = asyncio.get_running_loop()
-            _, exchange = await loop.create_connection(_Exchange, host, int(port))
-            self._kept[address] = exchange
-        request = http1.Request(method.encode(), path.encode(), {}, body, True)
-        headers = {b"Content-Type": b"application/json"} if body else {}
-        if not may():
-            return Failure(Code.STALE_EPOCH, "no longer wanted")
-        response = await exchange.ask(http1.encode_request(request, address.encode(), headers))
-        if response is None:
-            self._kept.pop(address, None)
-            return Failure(Code.CLOSED, f"{address}: no whole answer")
-        return Reply(response.status, response.body)
-
-    def forget(self, address: str) -> None:
-        """Close what is kept to an address."""
-        if (exchange := self._kept.pop(address, None)) is not None:
-            exchange.abort()
--- /dev/null
+++ b/otterreach/runtime/http_client.py
@@ -0,0 +1,212 @@
+"""An HTTP/1.1 client for calls with JSON bodies.
+
+A connection belongs to one call, from the first byte of its request to the last byte of its answer. Each request
+carries an id of its own, and an answer is matched by it. A connection is kept for another call only after one whole
+answer that bore the call's id, with nothing after it; whatever else ends a call closes its connection.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from itertools import count
+
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.http import REQUEST_ID, Reply
+from otterreach.runtime.rpc import tune
+from otterreach.sidecar import http1
+from otterreach.sidecar.transport import ServerConnection
+
+IDLE_MOST_S = 60.0  # at rest for longer a connection is closed; a vanished machine would never close it
+IDLE_MARGIN_S = 0.4  # before the time that Keep-Alive tells is over
+NO_HEADERS: Mapping[str, str] = {}
+Release = Callable[["_Connection"], None]
+
+
+def keep_alive_s(headers: Mapping[bytes, bytes]) -> float | None:
+    """The time that Keep-Alive tells, in seconds."""
+    for part in headers.get(b"keep-alive", b"").split(b","):
+        name, _, value = part.strip().partition(b"=")
+        if name.strip().lower() == b"timeout" and value.strip().isdigit():
+            return float(value)
+    return None
+
+
+def idle_most_s(headers: Mapping[bytes, bytes], plain_s: float) -> float:
+    """How long a connection may rest after an answer with these headers."""
+    told = keep_alive_s(headers)
+    return plain_s if told is None else max(told - IDLE_MARGIN_S, told / 2)
+
+
+class _Connection(ServerConnection):
+    """One connection: at rest, or in the hands of one call."""
+
+    def __init__(self, on_close: Release) -> None:
+        super().__init__()
+        self.reusable = True  # another call may be written; false from the write on
+        self._on_close = on_close
+        self._ident = b""
+        self._proven = False  # an answer on it has borne its call's id
+        self._parser: http1.ResponseParser | None = None
+        self._answer: asyncio.Future[http1.Response | Failure] | None = None
+        self._rest_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        tune(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._fail("closed before a whole answer")
+        self.close()
+
+    def data_received(self, data: bytes) -> None:
+        if self._parser is None:  # at rest: nobody asked
+            self.close()
+            return
+        response = self._parser.feed(data)
+        if response is not None:
+            self._take(response)
+        elif self._parser.broken:
+            self._fail("no answer of the protocol")
+
+    def _take(self, response: http1.Response) -> None:
+        """A whole answer. The one place that makes the connection reusable."""
+        ident = response.headers.get(REQUEST_ID)
+        matched = ident == self._ident
+        if self.unwritten:
+            self._fail("an answer before the request was written")
+        elif not matched and (ident is not None or self._proven):
+            # Danger: an extra answer to an earlier call may come in the place of this one's.
+            self._fail("an answer to another call")
+        else:
+            self._proven = matched
+            self.reusable = matched and response.keep_alive
+            self._settle(response)
+
+    def _fail(self, reason: str) -> None:
+        # What has not left whole for the kernel never leaves: the close drops it.
+        self._settle(Failure(Code.UNREACHABLE if self.unwritten else Code.CLOSED, reason))
+
+    def _settle(self, outcome: http1.Response | Failure) -> None:
+        if self._parser:
+            self._parser.close()
+            self._parser = None
+        if self._answer and not self._answer.done():
+            self._answer.set_result(outcome)
+
+    async def exchange(self, ident: bytes, data: bytes, until: float) -> http1.Response | Failure:
+        """Write a request and wait for its answer. Whatever ends this but a matched answer closes the connection."""
+        assert self.reusable
+        self.reusable = False
+        self._stop_resting()
+        self._ident = ident
+        self._parser = http1.ResponseParser(must_frame=True)
+        self._answer = asyncio.get_running_loop().create_future()
+        answered = False
+        try:
+            self._write(data)
+            async with asyncio.timeout_at(until):
+                outcome = await self._answer
+            answered = True
+            return outcome
+        except TimeoutError:
+            return Failure(Code.UNREACHABLE if self.unwritten else Code.TIMED_OUT, "no answer in time")
+        finally:
+            self._parser = None
+            # Danger: a cancellation or a time-out can come in the same turn of the loop as the answer.
+            if not answered or not self.reusable:
+                self.close()
+
+    def rest(self, seconds: float) -> None:
+        """Nothing is asked for now; the end comes after some time."""
+        self._stop_resting()
+        self._rest_timer = asyncio.get_running_loop().call_later(seconds, self.close)
+
+    def _stop_resting(self) -> None:
+        if self._rest_timer:
+            self._rest_timer.cancel()
+            self._rest_timer = None
+
+    def close(self) -> None:
+        """No other call goes out on it, and nothing more of this one."""
+        self.reusable = False
+        self._stop_resting()
+        self._on_close(self)
+        self._abort()
+
+
+class JsonClient:
+    """Calls with JSON bodies. One connection at rest is kept for each address: new ones are dear."""
+
+    def __init__(self) -> None:
+        self._resting: dict[str, _Connection] = {}
+        self._numbers = count(1)
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout_s: float,
+        may: Callable[[], bool] = lambda: True,
+        headers: Mapping[str, str] = NO_HEADERS,
+    ) -> Reply | Failure:
+        """The answer. TIMED_OUT and CLOSED leave open whether it was done, any other Failure says that it was not.
+        `may` is asked right before the write: to open a connection may take its time."""
+        until = asyncio.get_running_loop().time() + timeout_s
+        connection = self._take(address) or await self._open(address, until)
+        if isinstance(connection, Failure):
+            return connection
+        if asyncio.get_running_loop().time() >= until:
+            self._keep(address, connection, IDLE_MOST_S)
+            return Failure(Code.UNREACHABLE, f"{address}: no time left to write")
+        if not may():
+            self._keep(address, connection, IDLE_MOST_S)
+            return Failure(Code.STALE_EPOCH, "no longer wanted")
+        ident = b"call-%d" % next(self._numbers)
+        data = _encode(address, method, path, body, ident, headers)
+        outcome = await connection.exchange(ident, data, until)
+        if isinstance(outcome, Failure):
+            return Failure(outcome.code, f"{address}: {outcome.reason}")
+        if connection.reusable:
+            self._keep(address, connection, idle_most_s(outcome.headers, IDLE_MOST_S))
+        return Reply(outcome.status, outcome.body)
+
+    def _take(self, address: str) -> _Connection | None:
+        """The connection at rest, if it still stands."""
+        connection = self._resting.pop(address, None)
+        if connection is None or connection.reusable and connection.fresh():
+            return connection
+        connection.close()
+        return None
+
+    async def _open(self, address: str, until: float) -> _Connection | Failure:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout_at(until):
+                _, connection = await loop.create_connection(lambda: _Connection(self._closed), host, int(port))
+        except (OSError, ValueError, TimeoutError) as error:
+            return Failure(Code.UNREACHABLE, f"{address}: {type(error).__name__}")
+        return connection
+
+    def _keep(self, address: str, connection: _Connection, seconds: float) -> None:
+        if address in self._resting or connection.closing:
+            connection.close()
+            return
+        self._resting[address] = connection
+        connection.rest(seconds)
+
+    def _closed(self, connection: _Connection) -> None:
+        for address in [a for a, c in self._resting.items() if c is connection]:
+            del self._resting[address]
+
+
+def _encode(address: str, method: str, path: str, body: bytes, ident: bytes, headers: Mapping[str, str]) -> bytes:
+    lines = {name.encode(): value.encode("latin-1") for name, value in headers.items()}
+    lines[b"Request-Id"] = ident
+    if body:
+        lines[b"Content-Type"] = b"application/json"
+    request = http1.Request(method.encode(), path.encode(), {}, body, True)
+    return http1.encode_request(request, address.encode(), lines)
--- a/otterreach/runtime/rpc.py
+++ b/otterreach/runtime/rpc.py
@@ -160,8 +160,10 @@
             self._transport.abort()
 
 
-def tune(sock: socket.socket) -> None:
-    """Small messages leave at once; a peer that is dark is noticed."""
+def tune(sock: socket.socket | None) -> None:
+    """Small messages leave at once; a peer that is dark is noticed. A connection in memory has no socket."""
+    if sock is None:
+        return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
--- a/otterreach/scaletest/cost.py
+++ b/otterreach/scaletest/cost.py
@@ -15,7 +15,7 @@
 
 from otterreach.proxy.orders import Orders
 from otterreach.runtime.codec import decode, encode
-from otterreach.runtime.http import JsonClient
+from otterreach.runtime.http_client import JsonClient
 from otterreach.runtime.node import Node
 from otterreach.runtime.relay import Changes
 from otterreach.runtime.store import Item, ReplicatedStore
--- a/otterreach/scaletest/hollow.py
+++ b/otterreach/scaletest/hollow.py
@@ -16,7 +16,7 @@
 
 from otterreach.jobstore.messages import ProxyPing
 from otterreach.proxy.directory import PING_S, PING_TIMEOUT_S
-from otterreach.runtime.http import JsonClient
+from otterreach.runtime.http_client import JsonClient
 from otterreach.runtime.node import Node
 from otterreach.runtime.rpc import Endpoint
 from otterreach.runtime.settings import Settings
--- /dev/null
+++ b/tests/test_http_calls.py
@@ -0,0 +1,432 @@
+"""Calls over HTTP between processes: an answer goes to its own call or to none (runtime/http_client.py, http.py)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+
+from otterreach.runtime import http
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.http import JsonServer, Reply
+from otterreach.runtime.http_client import IDLE_MARGIN_S, IDLE_MOST_S, JsonClient
+from otterreach.sidecar import http1
+from tests import virtual
+from tests.virtual import MemoryLoop, MemoryTransport, connect
+
+HOST, PORT = "10.0.0.1", 80
+ADDRESS = f"{HOST}:{PORT}"
+Script = Callable[["Served", http1.Request], None]
+
+
+class Served(asyncio.Protocol):
+    """A server's end of one connection, which does as its script says with each request."""
+
+    def __init__(self, script: Script, ends: list[Served]) -> None:
+        self._script, self._parser = script, http1.RequestParser()
+        self.transport: Any = None
+        self.requests: list[http1.Request] = []
+        self.lost = False
+        ends.append(self)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+
+    def data_received(self, data: bytes) -> None:
+        for request in self._parser.feed(data):
+            self.requests.append(request)
+            self._script(self, request)
+
+    def write(self, data: bytes) -> None:
+        self.transport.write(data)
+
+
+def answer(request: http1.Request, body: bytes = b"", status: int = 200, head: bytes = b"") -> bytes:
+    """The answer of a server that gives the id back; its body names the path."""
+    body = body or request.target
+    ident = request.headers.get(b"request-id")
+    line = b"Request-Id: " + ident + b"\r\n" if ident else b""
+    return b"HTTP/1.1 %d X\r\n%s%sContent-Length: %d\r\n\r\n%s" % (status, line, head, len(body), body)
+
+
+def without_id(request: http1.Request) -> bytes:
+    return b"HTTP/1.1 200 X\r\nContent-Length: %d\r\n\r\n%s" % (len(request.target), request.target)
+
+
+class World:
+    """A client, and a server at one address."""
+
+    def __init__(self, loop: MemoryLoop, script: Script) -> None:
+        self.loop, self.client = loop, JsonClient()
+        self.ends: list[Served] = []
+        loop.listeners[(HOST, PORT)] = lambda: Served(script, self.ends)
+
+    async def ask(self, path: str, timeout_s: float = 1.0, **more: Any) -> Reply | Failure:
+        return await self.client.call(ADDRESS, "GET", path, b"", timeout_s, **more)
+
+    async def settle(self) -> None:
+        await asyncio.sleep(0.05)
+
+
+def play(script: Script, main: Callable[[World], Awaitable[None]]) -> None:
+    loop = MemoryLoop()
+
+    async def body() -> None:
+        await main(World(loop, script))
+
+    virtual.run(body, loop)
+
+
+def plain(end: Served, request: http1.Request) -> None:
+    end.write(answer(request))
+
+
+def late(seconds: float) -> Script:
+    """An answer to /slow that takes its time; all others come at once."""
+
+    def script(end: Served, request: http1.Request) -> None:
+        wait = seconds if request.target == b"/slow" else 0.0
+        asyncio.get_running_loop().call_later(wait, end.write, answer(request))
+
+    return script
+
+
+def test_one_connection_serves_call_after_call() -> None:
+    async def main(world: World) -> None:
+        for path in ("/a", "/b", "/c"):
+            assert await world.ask(path) == Reply(200, path.encode())
+        assert world.loop.opened == 1
+
+    play(plain, main)
+
+
+def test_a_cancelled_call_takes_its_connection_with_it() -> None:
+    """The next call, to another path, must not get its answer."""
+
+    async def main(world: World) -> None:
+        call = asyncio.ensure_future(world.ask("/slow"))
+        await asyncio.sleep(0.1)
+        call.cancel()
+        await world.settle()
+        assert world.ends[0].lost
+        assert await world.ask("/other") == Reply(200, b"/other")
+
+    play(late(0.2), main)
+
+
+def test_a_call_cancelled_in_the_turn_of_its_answer_leaves_no_connection_open() -> None:
+    async def main(world: World) -> None:
+        def script(end: Served, request: http1.Request) -> None:
+            end.write(answer(request))
+            # The answer arrives a latency later, and the cancellation in the same turn of the loop.
+            asyncio.get_running_loop().call_later(virtual.LATENCY_S, call.cancel)
+
+        world.loop.listeners[(HOST, PORT)] = lambda: Served(script, world.ends)
+        call = asyncio.ensure_future(world.ask("/x"))
+        with pytest.raises(asyncio.CancelledError):
+            await call
+        await world.settle()
+        assert world.ends[0].lost
+
+    play(plain, main)
+
+
+def test_a_call_that_timed_out_takes_its_connection_with_it() -> None:
+    async def main(world: World) -> None:
+        reply = await world.ask("/slow", 0.1)
+        assert isinstance(reply, Failure) and reply.code is Code.TIMED_OUT
+        assert await world.ask("/other") == Reply(200, b"/other")
+        await world.settle()
+        assert world.ends[0].lost and not world.ends[1].lost
+
+    play(late(0.11), main)
+
+
+def test_an_extra_answer_while_at_rest_ends_the_connection() -> None:
+    def script(end: Served, request: http1.Request) -> None:
+        end.write(answer(request))
+        asyncio.get_running_loop().call_later(0.02, end.write, answer(request))
+
+    async def main(world: World) -> None:
+        await world.ask("/first")
+        await world.settle()
+        assert world.ends[0].lost
+        assert await world.ask("/second") == Reply(200, b"/second")
+
+    play(script, main)
+
+
+def test_an_extra_answer_in_the_place_of_the_next_one_is_not_taken() -> None:
+    def script(end: Served, request: http1.Request) -> None:
+        end.write(answer(end.requests[0]))  # the second time: once more that to the first
+
+    async def main(world: World) -> None:
+        await world.ask("/first")
+        reply = await world.ask("/second")
+        assert isinstance(reply, Failure) and reply.code is Code.CLOSED
+        await world.settle()
+        assert world.ends[0].lost
+
+    play(script, main)
+
+
+@pytest.mark.parametrize(
+    "extra", [answer(http1.Request(b"GET", b"/z", {}, b"", True)), b"x", b"HTTP/1.1 100 C\r\n\r\n"]
+)
+def test_bytes_right_after_an_answer_end_the_connection(extra: bytes) -> None:
+    async def main(world: World) -> None:
+        assert await world.ask("/first") == Reply(200, b"/first")
+        assert await world.ask("/second") == Reply(200, b"/second")
+        assert world.ends[0].lost and world.loop.opened == 2
+
+    play(lambda end, request: end.write(answer(request) + extra), main)
+
+
+def test_without_an_id_in_its_answers_a_server_gets_one_call_for_each_connection() -> None:
+    async def main(world: World) -> None:
+        assert await world.ask("/first") == Reply(200, b"/first")
+        assert await world.ask("/second") == Reply(200, b"/second")
+        assert world.loop.opened == 2 and world.ends[0].lost
+
+    play(lambda end, request: end.write(without_id(request)), main)
+
+
+def test_an_answer_without_an_id_after_those_with_one_is_nobody_s() -> None:
+    def script(end: Served, request: http1.Request) -> None:
+        end.write(answer(request) if len(end.requests) == 1 else without_id(end.requests[0]))
+
+    async def main(world: World) -> None:
+        await world.ask("/first")
+        reply = await world.ask("/second")
+        assert isinstance(reply, Failure) and reply.maybe_done
+
+    play(script, main)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"HTTP/1.1 200 X\r\n\r\nunframed",
+        b"HTTP/1.1 409 X\r\n\r\n",
+        b"HTTP/1.1 101 X\r\nUpgrade: y\r\nConnection: upgrade\r\n\r\n",
+        b"HTTP/1.1 200 X\r\nContent-Length: 9\r\n\r\nshort",
+        b"HTTP/1.1 200 X\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        b"junk",
+        b"",
+    ],
+)
+def test_what_is_no_whole_answer_gives_no_reply(data: bytes) -> None:
+    def script(end: Served, request: http1.Request) -> None:
+        end.write(data)
+        end.transport.close()
+
+    async def main(world: World) -> None:
+        reply = await world.ask("/first")
+        assert isinstance(reply, Failure) and reply.code is Code.CLOSED
+
+    play(script, main)
+
+
+def test_an_announcement_is_no_answer() -> None:
+    async def main(world: World) -> None:
+        for path in ("/a", "/b"):
+            assert await world.ask(path) == Reply(200, path.encode())
+        assert world.loop.opened == 1
+
+    play(
+        lambda end, request: end.write(b"HTTP/1.1 100 C\r\n\r\nHTTP/1.1 103 E\r\nLink: x\r\n\r\n" + answer(request)),
+        main,
+    )
+
+
+def test_an_answer_before_the_request_has_left_is_no_answer_and_nothing_was_done() -> None:
+    """What is not yet written can't have run, and is dropped with the connection."""
+
+    class Full(MemoryTransport):
+        """Takes no bytes: the kernel's buffer is full."""
+
+        def write(self, data: Any) -> None:
+            self.protocol.pause_writing()
+
+    async def main(world: World) -> None:
+        def accept() -> Any:
+            end = Served(plain, world.ends)
+            return end
+
+        async def open_full(protocol_factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:
+            here, there = protocol_factory(), accept()
+            a, b = Full(here), MemoryTransport(there)
+            a.other, b.other = b, a
+            there.connection_made(b)
+            here.connection_made(a)
+            world.loop.call_later(0.05, there.write, b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
+            return a, here
+
+        world.loop.create_connection = open_full  # type: ignore[method-assign]
+        reply = await world.ask("/first")
+        assert isinstance(reply, Failure) and not reply.maybe_done
+        await world.settle()
+        assert world.ends[0].lost
+
+    play(plain, main)
+
+
+def test_calls_at_the_same_time_have_a_connection_each() -> None:
+    async def main(world: World) -> None:
+        replies = await asyncio.gather(*(world.ask(f"/{n}") for n in range(5)))
+        assert replies == [Reply(200, b"/%d" % n) for n in range(5)]
+        await world.settle()
+        assert sum(not end.lost for end in world.ends) == 1  # one is kept
+
+    play(plain, main)
+
+
+def test_what_may_not_go_out_is_not_written_and_harms_no_connection() -> None:
+    async def main(world: World) -> None:
+        reply = await world.ask("/first", may=lambda: False)
+        assert isinstance(reply, Failure) and not reply.maybe_done
+        assert await world.ask("/second") == Reply(200, b"/second")
+        assert [r.target for end in world.ends for r in end.requests] == [b"/second"] and world.loop.opened == 1
+
+    play(plain, main)
+
+
+def test_no_connection_in_time_says_that_nothing_was_done() -> None:
+    async def main(world: World) -> None:
+        world.loop.dark.add((HOST, PORT))
+        reply = await world.ask("/first", 0.3)
+        assert isinstance(reply, Failure) and not reply.maybe_done
+
+    play(plain, main)
+
+
+@pytest.mark.parametrize(("head", "most_s"), [(b"", IDLE_MOST_S), (b"Keep-Alive: timeout=5\r\n", 5 - IDLE_MARGIN_S)])
+def test_a_connection_at_rest_ends_after_a_time(head: bytes, most_s: float) -> None:
+    async def main(world: World) -> None:
+        await world.ask("/first")
+        await asyncio.sleep(most_s - 0.1)
+        assert not world.ends[0].lost
+        await asyncio.sleep(0.2)
+        assert world.ends[0].lost
+
+    play(lambda end, request: end.write(answer(request, head=head)), main)
+
+
+# The server ---------------------------------------------------------------------------------------
+
+
+class Raw(asyncio.Protocol):
+    """A caller that writes what it likes."""
+
+    def __init__(self) -> None:
+        self.data, self.lost = b"", False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        pass
+
+    def data_received(self, data: bytes) -> None:
+        self.data += data
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+
+
+async def serve(handle: http.Handle) -> tuple[Raw, MemoryTransport, JsonServer]:
+    server = JsonServer(handle)
+    await server.listen(HOST, PORT)
+    loop: Any = asyncio.get_running_loop()
+    raw = Raw()
+    transport, _ = connect(raw, loop.listeners[(HOST, PORT)]())
+    return raw, transport, server
+
+
+GET = b"GET /%d HTTP/1.1\r\nRequest-Id: q%d\r\n\r\n"
+
+
+def test_answers_come_in_order_and_bear_the_id_of_their_request() -> None:
+    async def handle(request: http1.Request) -> Reply:
+        await asyncio.sleep(0.1 if request.target == b"/0" else 0.0)
+        return Reply(200, request.target)
+
+    async def main() -> None:
+        raw, transport, _ = await serve(handle)
+        transport.write(GET % (0, 0) + GET % (1, 1))
+        await asyncio.sleep(0.5)
+        first, second = raw.data.split(b"HTTP/1.1 200 OK")[1:]
+        assert b"Request-Id: q0" in first and first.endswith(b"/0")
+        assert b"Request-Id: q1" in second and second.endswith(b"/1")
+
+    virtual.run(main, MemoryLoop())
+
+
+def test_what_a_caller_asked_before_it_left_is_not_begun() -> None:
+    begun = []
+
+    async def handle(request: http1.Request) -> Reply:
+        begun.append(request.target)
+        await asyncio.sleep(0.1)
+        return Reply(200)
+
+    async def main() -> None:
+        _, transport, _ = await serve(handle)
+        transport.write(GET % (0, 0) + GET % (1, 1))
+        await asyncio.sleep(0.05)
+        transport.abort()
+        await asyncio.sleep(0.5)
+        assert begun == [b"/0"]
+
+    virtual.run(main, MemoryLoop())
+
+
+def test_a_call_that_takes_long_is_not_cut_by_the_time_at_rest() -> None:
+    async def handle(request: http1.Request) -> Reply:
+        await asyncio.sleep(2.0)
+        return Reply(200, b"done")
+
+    async def main() -> None:
+        raw, transport, _ = await serve(handle)
+        await asyncio.sleep(http.IDLE_S - 1.0)
+        transport.write(GET % (0, 0))
+        await asyncio.sleep(3.0)
+        assert raw.data.endswith(b"done") and not raw.lost
+
+    virtual.run(main, MemoryLoop())
+
+
+def test_the_body_is_asked_for_after_the_answers_before_it() -> None:
+    async def handle(request: http1.Request) -> Reply:
+        await asyncio.sleep(0.1)
+        return Reply(200, request.body or b"none")
+
+    async def main() -> None:
+        raw, transport, _ = await serve(handle)
+        transport.write(GET % (0, 0) + b"PUT /1 HTTP/1.1\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+        await asyncio.sleep(0.3)
+        assert raw.data.startswith(b"HTTP/1.1 200") and raw.data.endswith(b"HTTP/1.1 100 Continue\r\n\r\n")
+        transport.write(b"body")
+        await asyncio.sleep(0.3)
+        assert raw.data.endswith(b"body")
+
+    virtual.run(main, MemoryLoop())
+
+
+def test_after_an_answer_that_closes_nothing_further_is_begun() -> None:
+    begun = []
+
+    async def handle(request: http1.Request) -> Reply:
+        begun.append(request.target)
+        return Reply(200)
+
+    async def main() -> None:
+        raw, transport, server = await serve(handle)
+        server.stopping = True
+        transport.write(GET % (0, 0) + GET % (1, 1))
+        await asyncio.sleep(0.3)
+        assert begun == [b"/0"] and raw.lost and raw.data.count(b"HTTP/1.1") == 1
+
+    virtual.run(main, MemoryLoop())
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -42,9 +42,49 @@
         self._virtual.now += seconds
 
 
-def run(main: Callable[[], Awaitable[T]]) -> T:
+class MemoryLoop(VirtualLoop):
+    """A loop whose listeners and connections are in memory. `dark`: addresses that never answer a connection."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.listeners: dict[tuple[str, int], Callable[[], asyncio.BaseProtocol]] = {}
+        self.dark: set[tuple[str, int]] = set()
+        self.opened = 0
+
+    async def create_connection(self, protocol_factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:
+        await asyncio.sleep(LATENCY_S)
+        if (host, port) in self.dark:
+            await asyncio.sleep(3600)
+        listener = self.listeners.get((host, port))
+        if listener is None:
+            raise ConnectionRefusedError(111, f"{host}:{port}")
+        self.opened += 1
+        here = protocol_factory()
+        near, _far = connect(here, listener())
+        return near, here
+
+    async def create_server(self, protocol_factory: Any, host: Any = None, port: Any = None, **_: Any) -> Any:
+        self.listeners[(host, port)] = protocol_factory
+        return _Listener(self, (host, port))
+
+
+class _Listener:
+    """What create_server gives."""
+
+    def __init__(self, loop: MemoryLoop, address: tuple[str, int]) -> None:
+        self._memory, self._address = loop, address
+        self.sockets = [self]
+
+    def getsockname(self) -> tuple[str, int]:
+        return self._address
+
+    def close(self) -> None:
+        self._memory.listeners.pop(self._address, None)
+
+
+def run(main: Callable[[], Awaitable[T]], loop: VirtualLoop | None = None) -> T:
     """Run to the end in virtual time."""
-    loop = VirtualLoop()
+    loop = loop or VirtualLoop()
     asyncio.set_event_loop(loop)
 
     async def body() -> T:
