Split controller replication by concern, with the field's names

The module held epochs, elections, the answering side, replication and membership in one class of 638 lines. Each is a module of its own now (epochs, replica_state, acceptor, election, primary, membership); Control puts them together.

--- a/otterreach/cli/data.py
+++ b/otterreach/cli/data.py
@@ -8,8 +8,8 @@
 from pathlib import Path
 
 from otterreach.cli.codes import Desk
-from otterreach.controller import messages as catalogue_messages  # noqa: F401  registers what the records hold
-from otterreach.controller import replication
+from otterreach.controller import messages as controller_messages  # noqa: F401  registers what the records hold
+from otterreach.controller import replica_state
 from otterreach.jobstore.jobs import Job, Kind
 from otterreach.jobstore.partition import Copy, Mark, part_in
 from otterreach.jobstore.placement import PARTITIONS
@@ -19,11 +19,11 @@
 
 CONTROL, JOBS = "control", "jobs"
 CONTROL_KINDS = {
-    replication.IDENTITY: "identity",
-    replication.PROMISE: "promise",
-    replication.RECORD: "epoch",
-    replication.ITEMS: "items",
-    replication.STATE: "state",
+    replica_state.IDENTITY: "identity",
+    replica_state.PROMISE: "promise",
+    replica_state.CONFIGURATION: "epoch",
+    replica_state.ITEMS: "items",
+    replica_state.SNAPSHOT: "state",
 }
 JOB_KINDS = {
     Mark.DISK: "disk",
@@ -110,16 +110,17 @@
 def _control(entry: Entry) -> tuple[str, str]:
     name = CONTROL_KINDS.get(entry.kind, str(entry.kind))
     try:
-        if entry.kind == replication.RECORD:
-            record = decode(22, entry.payload).record[0]
-            witnesses = ",".join(w.node for w in record.witnesses)
+        if entry.kind == replica_state.CONFIGURATION:
+            configuration = decode(22, entry.payload).configuration[0]
+            witnesses = ",".join(w.node for w in configuration.witnesses)
             return (
                 name,
-                f"number={record.number} primary={record.primary} backups={','.join(record.backups)} "
+                f"number={configuration.number} primary={configuration.primary} "
+                f"backups={','.join(configuration.backups)} "
                 f"witnesses={witnesses}",
             )
-        if entry.kind in (replication.ITEMS, replication.STATE):
-            told = decode(25 if entry.kind == replication.ITEMS else 24, entry.payload)
+        if entry.kind in (replica_state.ITEMS, replica_state.SNAPSHOT):
+            told = decode(25 if entry.kind == replica_state.ITEMS else 24, entry.payload)
             return name, f"number={told.number} {_items(told.items)}"
     except (MessageError, IndexError) as error:
         return name, f"unreadable={error}"
@@ -130,10 +131,10 @@
     """The control state as a controller's journal has it. What was not acknowledged may be in it, too."""
     store = ReplicatedStore()
     for entry in walk(data):
-        if entry.kind == replication.STATE:
+        if entry.kind == replica_state.SNAPSHOT:
             store = ReplicatedStore()
             store.apply(decode(24, entry.payload).items)
-        elif entry.kind == replication.ITEMS:
+        elif entry.kind == replica_state.ITEMS:
             store.apply(decode(25, entry.payload).items)
     return store
 
--- a/otterreach/controller/messages.py
+++ b/otterreach/controller/messages.py
@@ -4,40 +4,11 @@
 
 from dataclasses import dataclass, field
 
+from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
 from otterreach.runtime.codec import message
 from otterreach.runtime.store import Item
 
 
-@message(0)
-@dataclass(slots=True)
-class ControllerInfo:
-    """A controller by the id on its disk: a wiped one is another."""
-
-    id: str
-    node: str
-    address: str
-    zone: str
-
-
-@message(0)
-@dataclass(slots=True)
-class Record:
-    """An epoch: the only thing that witnesses keep."""
-
-    number: int
-    primary: str
-    backups: list[str]
-    witnesses: list[ControllerInfo]
-
-    @property
-    def members(self) -> list[str]:
-        """Those that hold all acknowledged writes."""
-        return [self.primary, *self.backups]
-
-    def witness(self, ident: str) -> ControllerInfo | None:
-        return next((w for w in self.witnesses if w.id == ident), None)
-
-
 @message(20)
 @dataclass(slots=True)
 class Prepare:
@@ -54,15 +25,15 @@
     ok: bool
     promised: int
     id: str
-    accepted: list[Record]  # the highest accepted, or none
+    accepted: list[EpochConfiguration]  # the highest accepted, or none
 
 
 @message(22)
 @dataclass(slots=True)
 class Accept:
-    """The new primary to a witness: this record. Accepted."""
+    """The new primary to a witness: this configuration. Accepted."""
 
-    record: list[Record]
+    configuration: list[EpochConfiguration]
 
 
 @message(23)
@@ -75,7 +46,7 @@
 
 @message(24)
 @dataclass(slots=True)
-class Install:
+class InstallSnapshot:
     """The new primary to a backup to be: the whole state. Done, or STALE_EPOCH."""
 
     number: int
@@ -85,7 +56,7 @@
 
 @message(25)
 @dataclass(slots=True)
-class Append:
+class AppendItems:
     """Primary to backup: these changes. Done once they are on disk."""
 
     number: int
@@ -94,8 +65,8 @@
 
 @message(26)
 @dataclass(slots=True)
-class Beat:
-    """Primary to each witness; to a backup also the question whether the epoch still holds. Beaten."""
+class EpochHeartbeat:
+    """Primary to each witness; to a backup also the question whether the epoch still holds. EpochHeartbeatReply."""
 
     number: int
     primary: str
@@ -104,7 +75,7 @@
 
 @message(27)
 @dataclass(slots=True)
-class Beaten:
+class EpochHeartbeatReply:
     ok: bool
     promised: int
     id: str
@@ -112,23 +83,23 @@
 
 @message(28)
 @dataclass(slots=True)
-class WhoAreYou:
-    """Before the very first record, among seeds."""
+class IdentityRequest:
+    """Among seeds, before the very first configuration: who are you? IdentityReply."""
 
     node: str
 
 
 @message(29)
 @dataclass(slots=True)
-class Identity:
+class IdentityReply:
     controller: list[ControllerInfo]
-    fresh: bool  # first start of the whole system, and nothing has happened since
+    uninitialised: bool  # first start of the whole system, and nothing has happened since
 
 
 @message(30)
 @dataclass(slots=True)
-class Join:
-    """A controller outside the record to the primary: put me in. Done, or a Failure."""
+class JoinRequest:
+    """A controller outside the configuration to the primary: put me in. Done, or a Failure."""
 
     controller: list[ControllerInfo]
 
--- a/otterreach/simulation/control.py
+++ b/otterreach/simulation/control.py
@@ -227,16 +227,16 @@
 
             return revise
 
-        def taking(plain: Any) -> Any:
-            def take_office(control: Control) -> None:
-                plain(control)
+        def becoming(plain: Any) -> Any:
+            def become_primary(control: Control, installed: Any) -> None:
+                plain(control, installed)
                 if control.is_primary:
                     scenario.check_acked(control)
 
-            return take_office
+            return become_primary
 
         self.world.wrap(Control, "revise", revising)
-        self.world.wrap(Control, "_take_office", taking)
+        self.world.wrap(Control, "become_primary", becoming)
 
     def noted(self, done: asyncio.Future[bool], revs: dict[str, int]) -> None:
         if not done.cancelled() and done.result() is True:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -19,7 +19,8 @@
 from otterreach.cli.__main__ import main
 from otterreach.cli.caller import Caller, error_of
 from otterreach.cli.codes import Desk
-from otterreach.controller.messages import Accept, Append, ControllerInfo, Install, Record
+from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
+from otterreach.controller.messages import Accept, AppendItems, InstallSnapshot
 from otterreach.jobstore.jobs import end_record, result_record, submit_record
 from otterreach.jobstore.messages import ReadJob, Results
 from otterreach.jobstore.partition import Copy, Mark
@@ -152,9 +153,9 @@
         items = [Item("config", 1 << 24 | 1, b'{"gen":4}'), Item("server/i", 1 << 24 | 2, b"")]
         return [
             (1, b"a1 1"),
-            (3, encode(Accept([Record(1, "a1", [], [who])]))),
-            (4, encode(Append(1, items))),
-            (5, encode(Install(2, "a1", [Item("config", 2 << 24 | 1, b'{"gen":6}')]))),
+            (3, encode(Accept([EpochConfiguration(1, "a1", [], [who])]))),
+            (4, encode(AppendItems(1, items))),
+            (5, encode(InstallSnapshot(2, "a1", [Item("config", 2 << 24 | 1, b'{"gen":6}')]))),
             (2, b"3"),
         ]
 
