--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import shlex
 import struct
 import subprocess
+import sys
 import tomllib
 from pathlib import Path
 
@@ -16,6 +18,7 @@
 from tests.support import MS, SECOND, listed, raw_settings
 
 ROOT = Path(__file__).parent.parent
+BUILT_PYTHON = "exec .venv/bin/python"
 
 
 def boot(instance: int, raw: object, seed: int = 7) -> bytes:
@@ -185,8 +188,11 @@
 
 
 def run_sim(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
-    return subprocess.run(["/bin/sh", "-c", deploy["sim"]], input=data, capture_output=True, cwd=ROOT, timeout=60)
+    """The deploy file's own command, with the Python of these tests in place of the build's."""
+    command = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["sim"]
+    assert command.startswith(BUILT_PYTHON)
+    command = f"exec {shlex.quote(sys.executable)}{command.removeprefix(BUILT_PYTHON)}"
+    return subprocess.run(["/bin/sh", "-c", command], input=data, capture_output=True, cwd=ROOT, timeout=60)
 
 
 def test_the_deploy_files_own_command_answers_over_a_pipe() -> None:
