KNOWN-RED.txt: tests that fail for a known fault are run, printed and passed over

Cause: a real fault that can't be mended at once had no place but a skipped test. A bad line, a fourth one or a test that isn't there ends the run with a usage error.

--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,88 @@
+"""KNOWN-RED.txt: the run passes over just the tests that it lists, and says so."""
+
+from __future__ import annotations
+
+import pytest
+
+from tests.known_red import FILE, KnownRed, KnownRedError, parse
+
+pytest_plugins = ["pytester"]
+CONFTEST = "from tests.conftest import pytest_configure\n"
+TESTS = """
+def test_red():
+    assert False
+
+def test_other_red():
+    assert False
+
+def test_green():
+    pass
+"""
+
+
+@pytest.fixture
+def project(pytester: pytest.Pytester) -> pytest.Pytester:
+    """A project of its own that uses this one's conftest."""
+    pytester.makeconftest(CONFTEST)
+    pytester.makepyfile(test_project=TESTS)
+    return pytester
+
+
+def list_tests(project: pytest.Pytester, *lines: str) -> None:
+    (project.path / FILE).write_text("".join(f"{line}\n" for line in lines))
+
+
+def test_without_the_file_every_failure_counts(project: pytest.Pytester) -> None:
+    result = project.runpytest_inprocess()
+    result.assert_outcomes(passed=1, failed=2)
+    assert result.ret == pytest.ExitCode.TESTS_FAILED
+    assert FILE not in result.stdout.str()
+
+
+def test_listed_tests_are_passed_over_and_printed(project: pytest.Pytester) -> None:
+    list_tests(
+        project, "test_project.py::test_red | a cause | issue 1", "test_project.py::test_other_red | b | issue 2"
+    )
+    result = project.runpytest_inprocess()
+    result.assert_outcomes(passed=1, xfailed=2)
+    assert result.ret == pytest.ExitCode.OK
+    result.stdout.fnmatch_lines(["test_project.py::test_red: fails as known | a cause | issue 1"])
+
+
+def test_a_failure_that_is_not_listed_still_counts(project: pytest.Pytester) -> None:
+    list_tests(project, "test_project.py::test_red | a cause | issue 1")
+    result = project.runpytest_inprocess()
+    result.assert_outcomes(passed=1, failed=1, xfailed=1)
+    assert result.ret == pytest.ExitCode.TESTS_FAILED
+
+
+def test_a_listed_test_that_passes_is_reported(project: pytest.Pytester) -> None:
+    list_tests(project, "test_project.py::test_green | mended | issue 1")
+    result = project.runpytest_inprocess("-k", "green")
+    result.stdout.fnmatch_lines(["test_project.py::test_green: PASSES: take its line out | mended | issue 1"])
+
+
+@pytest.mark.parametrize("test_id", ["test_project.py::test_gone", "test_gone.py::test_red"])
+def test_a_listed_test_that_is_not_there_is_an_error(project: pytest.Pytester, test_id: str) -> None:
+    list_tests(project, f"{test_id} | a cause | issue 1")
+    result = project.runpytest_inprocess()
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+    result.stderr.fnmatch_lines([f"*not there: {test_id}"])
+
+
+def test_more_than_three_lines_are_an_error(project: pytest.Pytester) -> None:
+    list_tests(project, *(f"test_project.py::test_{number} | a cause | issue 1" for number in range(4)))
+    result = project.runpytest_inprocess()
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+    result.stderr.fnmatch_lines(["*4 lines, at most 3*"])
+
+
+def test_lines() -> None:
+    assert parse("") == parse("\n \n") == []
+    assert parse("a.py::b | cause | issue 9\n\n") == [KnownRed("a.py::b", "cause", "issue 9")]
+
+
+@pytest.mark.parametrize("text", ["a.py::b", "a.py::b | cause", "a.py::b | | issue", "a | b | c | d", "a|b|c\na|d|e"])
+def test_bad_lines_are_refused(text: str) -> None:
+    with pytest.raises(KnownRedError):
+        parse(text)
