--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import zlib
+from collections.abc import Iterable
 
 from otterreach.controller import planner
 from otterreach.controller.handlers import Desk
@@ -62,7 +63,7 @@
         ):
             node.endpoint.on(kind, handler)
 
-    async def run(self, records: list[Record]) -> None:
+    async def run(self, records: Iterable[Record]) -> None:
         self.control.load(records)
         self.node.disk = self.control.id
         host, port = self.settings.binds["ctl"]
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import Enum
 from random import Random
@@ -31,7 +31,8 @@
 from otterreach.runtime import identity
 from otterreach.runtime.codec import decode, encode
 from otterreach.runtime.codes import Code, Failure
-from otterreach.runtime.journal import Journal
+from otterreach.runtime.compaction import Compaction, Limits
+from otterreach.runtime.journal import Journal, Slice
 from otterreach.runtime.journal import Record as Entry
 from otterreach.runtime.log import log
 from otterreach.runtime.relay import Follower
@@ -50,7 +51,8 @@
 BACKUP_LOST_S = 0.5  # a backup silent for so long is replaced
 WITNESS_LOST_S = 3.0  # a witness silent for so long may make room
 JOIN_S = 0.3
-REWRITE_BYTES = 4 * 1024 * 1024
+REWRITE = Limits(4 * 1024 * 1024, 4.0)
+SLICE_BYTES = 32 * 1024  # of the state, encoded in one turn of the loop
 IDENTITY, PROMISE, RECORD, ITEMS, STATE = 1, 2, 3, 4, 5
 
 
@@ -111,6 +113,7 @@
         self._electing = False
         self._witnessed: dict[str, Witnessed] = {}
         self._timeout = START_S
+        self.compaction = Compaction(journal, self._live, lambda: self.state.bytes, REWRITE)
         for kind, handler in (
             (Prepare, self._prepare),
             (Accept, self._accept),
@@ -124,7 +127,7 @@
 
     # State ---------------------------------------------------------------------------------------
 
-    def load(self, records: list[Entry]) -> None:
+    def load(self, records: Iterable[Entry]) -> None:
         """The state as the journal has it; a first start draws an id. `start` makes it last."""
         for kind, payload in records:
             if kind == IDENTITY:
@@ -147,12 +150,16 @@
             self.journal.append(IDENTITY, f"{self.id} {int(self.fresh)}".encode())
         self._become(Mode.FOLLOWING if self.accepted else Mode.NEW, "start")
 
-    def _live(self) -> Iterable[Entry]:
-        yield IDENTITY, f"{self.id} {int(self.fresh)}".encode()
-        yield STATE, encode(Install(min(self.promised, self.number), self.id, list(self.state.items.values())))
+    def _live(self) -> Iterator[Slice]:
+        """What the journal has to hold, in slices that each tell what is so when they are asked for."""
+        yield [(IDENTITY, f"{self.id} {int(self.fresh)}".encode())]
+        yield [(STATE, encode(Install(min(self.promised, self.number), self.id, [])))]
+        for keys in self.state.batches(SLICE_BYTES):
+            items = [self.state.items[key] for key in keys if key in self.state.items]
+            yield [(ITEMS, encode(Append(self.number, items)))]
         if self.accepted:
-            yield RECORD, encode(Accept([self.accepted]))
-        yield PROMISE, str(self.promised).encode()
+            yield [(RECORD, encode(Accept([self.accepted])))]
+        yield [(PROMISE, str(self.promised).encode())]
 
     @property
     def number(self) -> int:
@@ -217,9 +224,12 @@
     async def _sync(self) -> bool:
         if await self.journal.sync():
             return True
+        self._disk_failed()
+        return False
+
+    def _disk_failed(self) -> None:
         self._step_down("disk")
         self._become(Mode.FAILED, "disk")
-        return False
 
     # Witness and backup --------------------------------------------------------------------------
 
@@ -329,13 +339,9 @@
             if self._outside() and now - joined_at > JOIN_S:
                 joined_at = now
                 self.endpoint.spawn(self._ask_in())
-            if self.journal.size > REWRITE_BYTES and not self._electing:
-                await self._rewrite()
-
-    async def _rewrite(self) -> None:
-        live = sum(len(payload) for _, payload in self._live())
-        if self.journal.size > 4 * live and not await self.journal.rewrite(self._live):
-            self._step_down("disk")
+            self.compaction.start_if_due()
+            if self.journal.failed is not None:
+                self._disk_failed()
 
     def _may_stand(self) -> bool:
         record = self._hint or self.accepted
--- a/otterreach/jobstore/node.py
+++ b/otterreach/jobstore/node.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from random import Random
 from typing import Any
 
@@ -42,7 +42,8 @@
 from otterreach.jobstore.replication import JournalLike, Office, Replication, finish
 from otterreach.runtime import identity
 from otterreach.runtime.codes import Code, Failure
-from otterreach.runtime.journal import Record
+from otterreach.runtime.compaction import Compaction, Limits
+from otterreach.runtime.journal import Record, Slice
 from otterreach.runtime.log import log
 from otterreach.runtime.node import Node
 from otterreach.runtime.rpc import Done, Link
@@ -52,8 +53,7 @@
 WRITE_S = 2.5  # a write that isn't at all copies by then is answered as perhaps done
 SETTLE_S = 0.3  # for that, at a stop
 MAX_WAIT_S = 5.0
-REWRITE_BYTES = 8 * 1024 * 1024
-REWRITE_GROWTH = 4
+REWRITE = Limits(8 * 1024 * 1024, 4.0)
 DISK_SHARE = 0.4  # of the disk, for the journal: its rewrite needs as much again
 MEMORY_SHARE = 0.35  # of the memory, for what batch jobs hold
 KEEP_MARGIN_S = 3.0  # results are kept a little longer than promised
@@ -62,7 +62,7 @@
 ERRORS = ("unprocessable", "failed", "reward_failed", "waited", "route_gone")
 
 
-def restore(node: Node, replication: Replication, records: list[Record]) -> None:
+def restore(node: Node, replication: Replication, records: Iterable[Record]) -> None:
     """The state as the journal has it; a first start draws the id of the disk."""
     disk = ""
     for mark, payload in records:
@@ -81,11 +81,12 @@
 class JobStoreNode:
     """One process of the role. `start` after the journal's records have been restored."""
 
-    def __init__(self, node: Node, journal: JournalLike, random: Random, records: list[Record]) -> None:
+    def __init__(self, node: Node, journal: JournalLike, random: Random, records: Iterable[Record]) -> None:
         self.node, self.journal = node, journal
         self.loop = asyncio.get_running_loop()
         self.replication = Replication(node, journal, random, self)
         self.dispatch = Dispatch(self, random)
+        self.compaction = Compaction(journal, self.live, self._live_bytes, REWRITE)
         self.stopping = False
         self._routes: tuple[int, dict[str, Any]] = (-1, {})
         self._slots: tuple[int, int] = (-1, 0)  # by the store's rev
@@ -397,7 +398,7 @@
             await asyncio.sleep(TEND_S)
             self._expire()
             await self.replication.tend()
-            await self._rewrite()
+            self.compaction.start_if_due()
 
     def _expire(self) -> None:
         """List what may be given up; drop ended batch jobs that nobody may read any more."""
@@ -421,17 +422,11 @@
                 office.append(result_record(job.id, item.id, encode_result(job, finished)))
                 self.dispatch.listed(job, item)
 
-    async def _rewrite(self) -> None:
-        if self.journal.size < REWRITE_BYTES:
-            return
-        live = sum(copy.jobs.size for copy in self.replication.copies)
-        if self.journal.size > REWRITE_GROWTH * live:
-            before = self.journal.size
-            if await self.journal.rewrite(self.live):
-                log("journal_rewritten", before=before, after=self.journal.size)
-
-    def live(self) -> Iterator[Record]:
-        """All that the journal has to hold."""
-        yield Mark.DISK, self.node.disk.encode()
+    def _live_bytes(self) -> int:
+        return sum(copy.jobs.size for copy in self.replication.copies)
+
+    def live(self) -> Iterator[Slice]:
+        """All that the journal has to hold, a copy of a partition at a time."""
+        yield [(Mark.DISK, self.node.disk.encode())]
         for copy in self.replication.copies:
-            yield from copy.live()
+            yield copy.live()
--- a/otterreach/jobstore/replication.py
+++ b/otterreach/jobstore/replication.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from enum import Enum
 from random import Random
 from typing import Any, Protocol
@@ -27,6 +27,7 @@
 from otterreach.jobstore.partition import NOWHERE, Copy, CopyState, Kept, Position
 from otterreach.jobstore.placement import PARTITIONS, Placement, read_placement
 from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.journal import Live
 from otterreach.runtime.log import log
 from otterreach.runtime.node import Node
 from otterreach.runtime.rpc import Done, Link
@@ -53,7 +54,7 @@
 
     async def sync(self) -> bool: ...
 
-    async def rewrite(self, live: Callable[[], Iterable[tuple[int, bytes]]]) -> bool: ...
+    async def rewrite(self, live: Live) -> bool: ...
 
 
 class Hooks(Protocol):
--- a/otterreach/runtime/store.py
+++ b/otterreach/runtime/store.py
@@ -4,12 +4,13 @@
 
 import json
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import Any
 
 from otterreach.runtime.codec import message
 
+ITEM_BYTES = 48  # of an item in a message or a journal, besides key and value, about
 RANGES = 128  # what differs is found by digests over so many ranges of keys
 
 
@@ -35,6 +36,10 @@
     return zlib.crc32(f"{item.key} {item.rev}".encode())
 
 
+def _size(item: Item) -> int:
+    return len(item.key) + len(item.value) + ITEM_BYTES
+
+
 class ReplicatedStore:
     """Items in; each change is told to those who watch its kind of key (what stands before the slash)."""
 
@@ -43,6 +48,7 @@
         self.rev = 0  # the highest seen
         self.digests = [0] * RANGES
         self.digest = 0  # over all of them
+        self.bytes = 0  # of all keys and values
         self._kinds: dict[str, dict[str, Item]] = {}
         self._watchers: dict[str, list[Callable[[Item], None]]] = {}
         self._decoded: dict[str, tuple[int, Any]] = {}
@@ -60,6 +66,7 @@
             change = _mark(item) ^ (_mark(old) if old else 0)
             self.digests[range_of(item.key)] ^= change
             self.digest ^= change
+            self.bytes += _size(item) - (_size(old) if old else 0)
             self.items[item.key] = item
             kind, _, name = item.key.partition("/")
             self._kinds.setdefault(kind, {})[name] = item
@@ -85,6 +92,19 @@
         items = self._kinds.get(kind, {})
         return {name: self.get(items[name].key) for name in sorted(items) if not items[name].gone}
 
+    def batches(self, limit: int) -> Iterator[list[str]]:
+        """The keys that are there now, in lists of about `limit` bytes of items. The items may change meanwhile."""
+        keys: list[str] = []
+        size = 0
+        for key in list(self.items):
+            keys.append(key)
+            size += _size(self.items[key]) if key in self.items else 0
+            if size >= limit:
+                yield keys
+                keys, size = [], 0
+        if keys:
+            yield keys
+
     def differing(self, digests: list[int]) -> list[Item]:
         """The items of the ranges in which another's digests differ from these."""
         if len(digests) != RANGES:
--- a/tests/test_jobstore_copies.py
+++ b/tests/test_jobstore_copies.py
@@ -386,6 +386,31 @@
 
         play(scene)
 
+    def test_rewritten_while_records_come_it_gives_the_same(self) -> None:
+        """Records of a partition stand before its slice, between slices and after it."""
+
+        async def scene(world: World, client: Client) -> None:
+            for name in ("a", "b", "c"):
+                await client.submit(name)
+            store = world.primary_of("a")
+            store.journal.slice_s = 0.5
+            rewriting = asyncio.ensure_future(store.journal.rewrite(store.store_node.live))
+            for n in range(40):
+                await client.submit(f"more-{n}")
+                await client.finish(f"more-{n}", 1)
+            await client.finish("a", 1)
+            await client.end("b")
+            self.assertFalse(rewriting.done())
+            self.assertTrue(await rewriting)
+            await store.journal.sync()
+            before = {c.part: (c.position, c.epoch, c.jobs.digests()) for c in store.store_node.replication.copies}
+            store.stop(power=True)
+            store.start()
+            after = {c.part: (c.position, c.epoch, c.jobs.digests()) for c in store.store_node.replication.copies}
+            self.assertEqual(before, after)
+
+        play(scene)
+
     def test_ended_jobs_go_after_their_time_and_open_ones_stay(self) -> None:
         async def scene(world: World, client: Client) -> None:
             await client.submit("a")
