--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -16,6 +16,7 @@
 from otterreach.controller.membership import Membership
 from otterreach.controller.primary import Primary
 from otterreach.controller.replica_state import Mode, ReplicaState
+from otterreach.runtime.compaction import Compaction, Limits
 from otterreach.runtime.journal import Journal
 from otterreach.runtime.journal import Record as JournalRecord
 from otterreach.runtime.relay import Follower
@@ -24,8 +25,7 @@
 from otterreach.runtime.store import Item, ReplicatedStore
 
 TICK_S = 0.05
-REWRITE_BYTES = 4 * 1024 * 1024  # a journal shorter than this is not rewritten
-REWRITE_RATIO = 4  # nor one that is less than so many times its live records
+REWRITE = Limits(4 * 1024 * 1024, 4.0)
 
 
 class Control:
@@ -48,6 +48,7 @@
         self.primary = Primary(self.replica, endpoint, follower, self.election)
         self.membership = Membership(self.replica, endpoint, follower, self.election, self.primary)
         self.replica.on_mode_change.append(self._tell_changed)
+        self.compaction = Compaction(journal, self.replica.live_records, self.replica.live_bytes, REWRITE)
 
     # What others see of it -----------------------------------------------------------------------
 
@@ -99,7 +100,7 @@
 
     # Its work ------------------------------------------------------------------------------------
 
-    def load(self, records: list[JournalRecord]) -> None:
+    def load(self, records: Iterable[JournalRecord]) -> None:
         """The state as the journal has it. `start` makes it last."""
         self.replica.load(records)
 
@@ -132,13 +133,6 @@
             elif self.election.is_due():
                 await self.election.stand()
             self.membership.ask_to_join_when_due(now)
-            if not self.election.in_progress:
-                await self._rewrite_when_long()
-
-    async def _rewrite_when_long(self) -> None:
-        replica = self.replica
-        if replica.journal.size <= REWRITE_BYTES:
-            return
-        live = sum(len(payload) for _, payload in replica.live_records())
-        if replica.journal.size > REWRITE_RATIO * live and not await replica.journal.rewrite(replica.live_records):
-            replica.step_down("disk")
+            self.compaction.start_if_due()
+            if self.replica.journal.failed is not None:
+                self.replica.fail_disk()
