Remember every accepted change by its digest; answer only on committed state

Cause: the last 64 changes were remembered, by CRC32 and Adler32, in one list that each change wrote anew and that went to every process. A repeat after 64 others was refused. A PATCH that happened to change nothing on top of another one was acknowledged though it had not been accepted: two 200 on one version. Repeats of a registration, a named version or a retirement were acknowledged, and orders refused, on state that was not yet at all copies. Calls queued behind a lock without a deadline.

Change: an accepted change is one item change/<slot>, base version and BLAKE2b digest, written together with the configuration, in a ring of 4,096 that needs no deletion and stays among the controllers. Below the ring the answer is 503, never 412. Resources decide without waiting and answer once the state is at all copies (Control.committed); each call has a deadline inside the caller's second. The test of operations.md looks into subpackages.

The test that a PATCH is known again without a history is replaced: with it it is known, without it it is refused.

Measured: tests/test_control_api.py (28 tests) and tests/test_config.py pass; tests/test_simulation.py passes.

--- /dev/null
+++ b/otterreach/controller/change_history.py
@@ -0,0 +1,69 @@
+"""The accepted changes of the configuration, by which a change that is sent again is recognised.
+
+Versions only rise, and a change is accepted only on the version that is current: so each version has at most one
+change that was accepted on top of it. Each accepted change is one small item of the control state, written together
+with the configuration that it made. The items form a ring: a new change takes the place of the oldest, the set of keys
+never grows beyond the ring, and nothing has to be deleted.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+from dataclasses import dataclass
+
+from otterreach.runtime.store import ReplicatedStore
+
+KIND = "change"  # of the items; only controllers need them
+CHANGES_REMEMBERED = 4096  # three days of 1,300 changes
+DIGEST_BYTES = 16
+
+
+@dataclass(frozen=True, slots=True)
+class AcceptedChange:
+    """A change by the version that it was accepted on, and the digest of its call."""
+
+    base: int
+    digest: str
+
+
+def digest_of(method: str, base: int, body: bytes) -> str:
+    """Names one call: its method, the version that it builds on, and its exact body."""
+    digest = hashlib.blake2b(f"{method} {base}\n".encode(), digest_size=DIGEST_BYTES)
+    digest.update(body)
+    return digest.hexdigest()
+
+
+class ChangeHistory:
+    """The newest accepted changes, as one state of the control state has them."""
+
+    def __init__(self, slots: dict[int, AcceptedChange], complete_from: int) -> None:
+        self._slots = slots
+        self._digests = {change.base: change.digest for change in slots.values()}
+        self.complete_from = complete_from  # every change accepted on this version or a later one is known
+
+    @classmethod
+    def read(cls, state: ReplicatedStore) -> ChangeHistory:
+        """The history that goes with the configuration in `state`."""
+        slots = {int(slot): AcceptedChange(value["base"], value["digest"]) for slot, value in state.named(KIND).items()}
+        config = state.get("config")
+        version = config["gen"] if config else 0
+        return cls(slots, min((change.base for change in slots.values()), default=version))
+
+    def has(self, change: AcceptedChange) -> bool:
+        """Whether exactly this change was accepted."""
+        return self._digests.get(change.base) == change.digest
+
+    def is_forgotten(self, base: int) -> bool:
+        """Whether a change on this version may have been accepted longer ago than is remembered."""
+        return base < self.complete_from
+
+    def item(self, change: AcceptedChange) -> tuple[str, bytes]:
+        """Key and value of the item to be written for a change that is accepted now."""
+        newest = max(self._slots, key=lambda slot: self._slots[slot].base, default=-1)
+        slot = (newest + 1) % CHANGES_REMEMBERED
+        value = {"base": change.base, "digest": change.digest}
+        return f"{KIND}/{slot}", json.dumps(value, separators=(",", ":")).encode()
+
+
+EMPTY_HISTORY = ChangeHistory({}, 0)
--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -7,7 +7,7 @@
 import zlib
 
 from otterreach.controller import planner
-from otterreach.controller.handlers import Desk
+from otterreach.controller.api.router import ApiRouter
 from otterreach.controller.messages import Sighting, Sightings
 from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
@@ -43,8 +43,8 @@
         self.heard: dict[str, float] = {}  # by node#disk: when last
         self.heard_servers: dict[str, float] = {}
         self.control = Control(settings, node.endpoint, journal, node.follower, node.random, self._office)
-        self.desk = Desk(settings, self.control, node.store, self._living_stores, self._server_heard)
-        self.server = JsonServer(self.desk.handle)
+        self.api = ApiRouter(settings, self.control, node.follower, self._living_stores, self._server_heard)
+        self.server = JsonServer(self.api.handle)
         self._settled_at = 0.0
         self._lost: dict[tuple[int, str], float] = {}  # (partition, backup): when its primary last said so
         self._stores_since = 0.0
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -13,6 +13,7 @@
 from random import Random
 from typing import Any
 
+from otterreach.controller import change_history
 from otterreach.controller.messages import (
     Accept,
     Accepted,
@@ -70,6 +71,11 @@
     asking: bool = False
 
 
+def is_private(key: str) -> bool:
+    """Whether an item stays among the controllers: no other process has a use for it."""
+    return key.partition("/")[0] == change_history.KIND
+
+
 def majority(ids: Iterable[str], record: Record) -> bool:
     """Whether these are more than half of the record's witnesses."""
     known = set(ids)
@@ -107,6 +113,7 @@
         self._installed: list[Item] = []  # what all copies of the newest record have from its start
         self._queue: list[Item] = []
         self._waiting: list[asyncio.Future[bool]] = []
+        self._last_write: asyncio.Future[bool] | None = None  # of `revise`; all earlier ones end before it
         self._replicating = False
         self._electing = False
         self._witnessed: dict[str, Witnessed] = {}
@@ -572,6 +579,16 @@
         same = all(isinstance(r, Beaten) and r.ok and r.id == w.id for w, r in zip(targets, replies, strict=True))
         return same and self.is_primary and self.accepted is record
 
+    async def committed(self) -> bool:
+        """Whether this is the primary now, and all of `state` as it was when this was called is at all copies.
+        Before an answer that rests on `state`: a change that is not at all copies may still vanish."""
+        write = self._last_write
+        if write is not None and not write.done():
+            await asyncio.wait([write])
+            if write.cancelled() or not write.result():
+                return False
+        return await self.confirm()
+
     def revise(self, changes: Iterable[tuple[str, bytes]]) -> asyncio.Future[bool]:
         """Change items (empty value: gone). True once all copies have it; False: it may be in force or not.
         Not primary: False at once, and nothing was changed."""
@@ -587,6 +604,7 @@
         self.journal.append(ITEMS, encode(Append(self.number, items)))
         self._queue += items
         self._waiting.append(future)
+        self._last_write = future
         if not self._replicating:
             self.endpoint.spawn(self._replicate())
         return future
@@ -634,5 +652,5 @@
         return True
 
     def _publish(self, items: list[Item]) -> None:
-        taken = self.follower.store.apply(items)
+        taken = self.follower.store.apply(item for item in items if not is_private(item.key))
         self.follower.relay.publish(taken)
--- a/otterreach/runtime/codes.py
+++ b/otterreach/runtime/codes.py
@@ -35,6 +35,7 @@
     CONFIG_OLD_NUMBER = 46  # gen is not higher than the current one
     CONFIG_STALE_MATCH = 47  # If-Match is not the current version
     CONFIG_NAMES = 48  # a name stands twice
+    CONFIG_FORGOTTEN = 49  # If-Match is older than the changes that are remembered: it may have been accepted
     UNKNOWN_NODE = 50  # no such store machine
     TOO_FEW_LEFT = 51  # too few store machines would be left
     SETTINGS = 60  # the settings file can't be used
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -12,7 +12,15 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from otterreach.controller.config import ALREADY, check_patch, check_whole, fingerprint, parse_if_match, status_of
+from otterreach.controller.change_history import ChangeHistory
+from otterreach.controller.config import (
+    ALREADY,
+    change_of,
+    check_patch,
+    check_whole,
+    parse_if_match,
+    status_of,
+)
 from otterreach.runtime.codes import Code, Failure
 
 Config = dict[str, Any]
@@ -70,6 +78,11 @@
 }
 
 
+def remembering(method: str, data: bytes, if_match: int) -> ChangeHistory:
+    """A history in which this change is the first."""
+    return ChangeHistory({0: change_of(method, data, if_match)}, 0)
+
+
 def body(config: Any) -> bytes:
     return json.dumps(config).encode()
 
@@ -252,9 +265,19 @@
     def test_same_again_after_another(self) -> None:
         """Taken without a clear answer, then another on top of it: the first sender still gets its 200."""
         newest = changed(lambda c: c.update(gen=9))
-        taken = {fingerprint(body(BASE), 5)}
-        self.assertIs(ALREADY, check_whole(body(BASE), newest, 5, taken))
-        self.refused(check_whole(body(BASE), newest, 6, taken), Code.CONFIG_STALE_MATCH)
+        history = remembering("PUT", body(BASE), 5)
+        self.assertIs(ALREADY, check_whole(body(BASE), newest, 5, history))
+        self.refused(check_whole(body(BASE), newest, 6, history), Code.CONFIG_STALE_MATCH)
+        self.refused(check_patch(body(BASE), newest, 5, history), Code.CONFIG_STALE_MATCH)
+
+    def test_older_than_what_is_remembered(self) -> None:
+        """Nobody knows any more whether it was accepted: no clear answer."""
+        newest = changed(lambda c: c.update(gen=9))
+        history = ChangeHistory({0: change_of("PUT", body(newest), 7)}, 7)
+        for check in (check_whole, check_patch):
+            found = check(body(BASE), newest, 5, history)
+            assert isinstance(found, Failure)
+            self.assertEqual((Code.CONFIG_FORGOTTEN, 503), (found.code, status_of(found)))
 
     @hypothesis_settings(max_examples=200, deadline=None)
     @given(
@@ -285,7 +308,20 @@
         self.assertEqual([read, BASE["routes"][2], NEW], found["routes"])
         self.assertEqual((9, BASE["backends"], BASE["caps"]), (found["gen"], found["backends"], found["caps"]))
         self.assertEqual(before, BASE)
-        self.assertIs(ALREADY, check_patch(body(patch), found, 7))
+        history = remembering("PATCH", body(patch), 7)
+        self.assertIs(ALREADY, check_patch(body(patch), found, 7, history))
+
+    def test_other_patch_that_would_change_nothing(self) -> None:
+        """Two on one version, the second a part of the first: only one of them was accepted."""
+        first = {"gen": 9, "upsert": {"routes": [NEW]}, "remove": {"routes": ["write"]}}
+        second = {"gen": 9, "remove": {"routes": ["write"]}}
+        found = self.patched(first)
+        history = remembering("PATCH", body(first), 7)
+        self.refused(check_patch(body(second), found, 7, history), Code.CONFIG_STALE_MATCH)
+
+    def test_unknown_list_of_items_without_names(self) -> None:
+        base = BASE | {"shades": [1, 2]}
+        self.refused(self.patched({"gen": 9, "upsert": {"shades": [{"name": "x"}]}}, 7, base), Code.CONFIG_FIELD)
 
     def test_services_in_the_same_patch(self) -> None:
         west = {"name": "west", "maxConns": 4}
@@ -342,8 +378,9 @@
     def test_same_again_after_another(self) -> None:
         patch = body({"gen": 9, "upsert": {"routes": [NEW]}})
         newest = BASE | {"gen": 12}
-        self.assertIs(ALREADY, check_patch(patch, newest, 7, {fingerprint(patch, 7)}))
-        self.refused(check_patch(patch, newest, 7, {fingerprint(patch, 8)}), Code.CONFIG_STALE_MATCH)
+        self.assertIs(ALREADY, check_patch(patch, newest, 7, remembering("PATCH", patch, 7)))
+        self.refused(check_patch(patch, newest, 7, remembering("PATCH", patch, 8)), Code.CONFIG_STALE_MATCH)
+        self.refused(check_whole(patch, newest, 7, remembering("PATCH", patch, 7)), Code.CONFIG_FIELD)
 
     def test_on_nothing(self) -> None:
         backends = [{"name": "north"}]
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -40,7 +40,7 @@
     """Every event that is logged, with the packages that do."""
     found: dict[str, set[str]] = {}
     for package in PACKAGES:
-        for file in (ROOT / "otterreach" / package).glob("*.py"):
+        for file in (ROOT / "otterreach" / package).rglob("*.py"):
             for event in _logged(file.read_text()):
                 found.setdefault(event, set()).add(package)
     return found
--- a/tests/test_scaletest.py
+++ b/tests/test_scaletest.py
@@ -10,8 +10,8 @@
 from pathlib import Path
 from typing import Any
 
+from otterreach.controller.api.servers import read_server
 from otterreach.controller.config import check_whole
-from otterreach.controller.handlers import read_server
 from otterreach.runtime import settings
 from otterreach.runtime.codes import Failure
 from otterreach.runtime.rpc import Done
