--- a/otterreach/controller/primary.py
+++ b/otterreach/controller/primary.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from otterreach.controller import change_history
 from otterreach.controller.election import CALL_S, Election
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
 from otterreach.controller.messages import Accept, AppendItems, EpochHeartbeat, EpochHeartbeatReply
@@ -21,6 +22,11 @@
 REVISION_BITS = 24  # of an item's rev: the count within its epoch; the epoch's number stands above
 
 
+def is_private(key: str) -> bool:
+    """Whether an item stays among the controllers: no other process has a use for it."""
+    return key.partition("/")[0] == change_history.KIND
+
+
 @dataclass(slots=True)
 class WitnessContact:
     """What the primary knows of a witness."""
@@ -39,6 +45,7 @@
         self._counter = 0
         self._queue: list[Item] = []
         self._waiting: list[asyncio.Future[bool]] = []
+        self._last_write: asyncio.Future[bool] | None = None  # of `revise`; all earlier ones end before it
         self._replicating = False
         replica.on_step_down.append(self._abandon_writes)
 
@@ -123,6 +130,16 @@
         )
         return same and self.replica.is_primary and self.replica.accepted is configuration
 
+    async def committed(self) -> bool:
+        """Whether this is the primary now, and the whole state as it was when this was called is at all members.
+        Before an answer that rests on the state: a change that is not at all members may still vanish."""
+        write = self._last_write
+        if write is not None and not write.done():
+            await asyncio.wait([write])
+            if write.cancelled() or not write.result():
+                return False
+        return await self.confirm()
+
     # Writes --------------------------------------------------------------------------------------
 
     def revise(self, changes: Iterable[tuple[str, bytes]]) -> asyncio.Future[bool]:
@@ -141,6 +158,7 @@
         replica.journal.append(ITEMS, encode(AppendItems(replica.number, items)))
         self._queue += items
         self._waiting.append(future)
+        self._last_write = future
         if not self._replicating:
             self.endpoint.spawn(self._replicate())
         return future
@@ -190,5 +208,5 @@
         return True
 
     def _publish(self, items: list[Item]) -> None:
-        taken = self.follower.store.apply(items)
+        taken = self.follower.store.apply(item for item in items if not is_private(item.key))
         self.follower.relay.publish(taken)
--- a/otterreach/controller/replica_state.py
+++ b/otterreach/controller/replica_state.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
-from otterreach.controller.messages import Accept, Append, InstallSnapshot
+from otterreach.controller.messages import Accept, AppendItems, InstallSnapshot
 from otterreach.runtime import identity
 from otterreach.runtime.codec import decode, encode
 from otterreach.runtime.codes import Code, Failure
@@ -93,7 +93,7 @@
         yield [(SNAPSHOT, encode(InstallSnapshot(min(self.promised, self.number), self.id, [])))]
         for keys in self.store.batches(SLICE_BYTES):
             items = [self.store.items[key] for key in keys if key in self.store.items]
-            yield [(ITEMS, encode(Append(self.number, items)))]
+            yield [(ITEMS, encode(AppendItems(self.number, items)))]
         if self.accepted:
             yield [(CONFIGURATION, encode(Accept([self.accepted])))]
         yield [(PROMISE, str(self.promised).encode())]
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -94,6 +94,10 @@
         """Whether this is the primary now. Before a read."""
         return await self.primary.confirm()
 
+    async def committed(self) -> bool:
+        """Whether this is the primary now, and all of `state` as it was at the call is at all members."""
+        return await self.primary.committed()
+
     def revise(self, changes: Iterable[tuple[str, bytes]]) -> asyncio.Future[bool]:
         """Change items (empty value: gone). True once all members have it; False: it may be in force or not."""
         return self.primary.revise(changes)
