Copies of partitions outlast any loss of machines, zones or regions that survive allows

survive.zones and survive.regions were never read: copies were counted by machines, and other zones only preferred. The planner now spreads the members of each partition (controller/spread.py) so that any allowed loss leaves one, as far as the machines that live allow it; the number of copies follows. Repairs, moves and retiring keep it, and the log line `spread` tells when machines don't allow it. Of one member too many a dead one leaves first. The first records wait up to 6 s for machines in all zones that are asked for. Retire answers done only while every partition has its full spread on other machines that live, by committed records, and not before the primary knows who lives; a machine with another disk may be retired again.

--- a/otterreach/controller/handlers.py
+++ b/otterreach/controller/handlers.py
@@ -12,9 +12,12 @@
 
 from otterreach.controller import config
 from otterreach.controller.messages import Operate, Operated
+from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
+from otterreach.controller.spread import Spread
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.http import Reply
+from otterreach.runtime.identity import node_of
 from otterreach.runtime.log import log
 from otterreach.runtime.rpc import Link
 from otterreach.runtime.settings import Settings
@@ -176,12 +179,12 @@
 
 
 class RetireResource:
-    """POST and GET /retire/NODE."""
+    """POST and GET /retire/NODE: a job store node gives its copies on, and may go with its disk once that is `done`."""
 
     def __init__(
-        self, settings: Settings, control: Control, store: ReplicatedStore, living: Callable[[], set[str]]
+        self, control: Control, store: ReplicatedStore, stores: Callable[[], Stores | None], wanted: Spread
     ) -> None:
-        self.settings, self.control, self.store, self.living = settings, control, store, living
+        self.control, self.store, self.stores, self.wanted = control, store, stores, wanted
 
     async def handle(self, ask: Operate) -> Operated:
         node = ask.path.rpartition("/")[2]
@@ -193,23 +196,51 @@
         if not self.store.get(f"retire/{node}"):
             member = self.store.get(f"member/{node}")
             return Operated(200, b'{"state":"serving"}') if member and member["role"] == "store" else _status(404)
-        parts = self.store.named("part").values()
-        kept = any(m.partition("#")[0] == node for p in parts for m in (p["primary"], *p["backups"], *p["joining"]))
-        return Operated(200, b'{"state":"serving"}' if kept else b'{"state":"done"}')
+        return Operated(200, b'{"state":"done"}' if self._given_on(node) else b'{"state":"serving"}')
+
+    def _given_on(self, node: str) -> bool:
+        """Whether every partition is at full strength without this node, by records that all controllers' copies have.
+
+        Members hold every acknowledged write on disk; learners may not, and whoever is not heard of doesn't count.
+        """
+        stores = self.stores()
+        if stores is None:
+            return False
+        target = stores.attainable(self.wanted)
+        for record in (Part.read(raw) for raw in self.store.named("part").values()):
+            if node in {node_of(m) for m in (*record.members, *record.learners)}:
+                return False
+            if not target.holds(stores.sound(record.members), stores.places):
+                return False
+        return True
 
     async def _begin(self, node: str) -> Operated:
         member = self.store.get(f"member/{node}")
         if not member or member["role"] != "store":
             return _status(404, Failure(Code.UNKNOWN_NODE, node))
-        if self.control.state.get(f"retire/{node}"):
+        retiring = self.control.state.get(f"retire/{node}")
+        if retiring and retiring["disk"] == member["disk"]:
             return _status(200)
-        others = {m.partition("#")[0] for m in self.living()} - {node, *self.control.state.named("retire")}
-        if len(others) < self.settings.survive_nodes + 1:
-            return _status(409, Failure(Code.TOO_FEW_LEFT, f"{len(others)} others"))
+        stores = self.stores()
+        if stores is None:
+            return _status(503)
+        refusal = self._too_few_left(node, stores)
+        if refusal:
+            return _status(409, Failure(Code.TOO_FEW_LEFT, refusal))
         done = await self.control.revise([(f"retire/{node}", json.dumps({"disk": member["disk"]}).encode())])
         log("retire", store=node, done=done)
         return _status(200 if done else 503)
 
+    def _too_few_left(self, node: str, stores: Stores) -> str:
+        """Why the others can't keep what this one keeps; empty if they can."""
+        others = {m: stores.places[m] for m in stores.usable if node_of(m) != node}
+        if len(others) < self.wanted.nodes:
+            return f"{len(others)} others"
+        before, after = stores.attainable(self.wanted), self.wanted.attainable(others)
+        if after != before:
+            return f"{after.zones} zones and {after.regions} regions would be left"
+        return ""
+
 
 class Desk:
     """Finds the resource of a call, here or at the primary."""
@@ -219,15 +250,16 @@
         settings: Settings,
         control: Control,
         store: ReplicatedStore,
-        living: Callable[[], set[str]],
+        stores: Callable[[], Stores | None],
         heard: Callable[[str], None],
     ) -> None:
+        wanted = Spread.surviving(settings.survive_nodes, settings.survive_zones, settings.survive_regions)
         self.control, self.store, self.heard = control, store, heard
         self.resources: dict[str, Resource] = {
             "config": ConfigResource(control, store),
             "servers": ServersResource(control, store),
             "version-put": VersionResource(control),
-            "retire": RetireResource(settings, control, store, living),
+            "retire": RetireResource(control, store, stores, wanted),
         }
         control.endpoint.on(Operate, self._operate)
 
--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -11,6 +11,7 @@
 from otterreach.controller.messages import Sighting, Sightings
 from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
+from otterreach.controller.spread import Place, Spread
 from otterreach.jobstore.messages import PartLost, PartSynced
 from otterreach.jobstore.placement import PARTITIONS
 from otterreach.proxy.messages import Loaded, Release
@@ -31,6 +32,7 @@
 STALL_S = 0.4  # the loop stood still for longer: nobody else is to blame for silence
 SETTLE_S = 1.0  # after coming into office, or a stall, before anyone is held to be dead
 FRONT_GONE_S, MEMBER_GONE_S = 8.0, 60.0  # silence after which a member that keeps nothing is forgotten
+FULL_SPREAD_WAIT_S = 6.0  # the first records wait so long for machines in all the zones and regions that are asked for
 SILENT_BEATS = 3.2  # heartbeats of a server that are missed before it is marked
 
 
@@ -43,13 +45,15 @@
         self.heard: dict[str, float] = {}  # by node#disk: when last
         self.heard_servers: dict[str, float] = {}
         self.control = Control(settings, node.endpoint, journal, node.follower, node.random, self._office)
-        self.desk = Desk(settings, self.control, node.store, self._living_stores, self._server_heard)
+        self.desk = Desk(settings, self.control, node.store, self._stores_when_settled, self._server_heard)
         self.server = JsonServer(self.desk.handle)
         self._settled_at = 0.0
         self._lost: dict[tuple[int, str], float] = {}  # (partition, backup): when its primary last said so
         self._stores_since = 0.0
         self._leaving: dict[str, float] = {}  # proxies that let go of their duties, and when
         self._stores: frozenset[str] = frozenset()
+        self.wanted = Spread.surviving(settings.survive_nodes, settings.survive_zones, settings.survive_regions)
+        self._attainable = self.wanted
         for kind, handler in (
             (Announce, self._announce),
             (Heartbeat, self._heartbeat),
@@ -124,10 +128,10 @@
         now = self.loop.time()
         return {name for name in self._store_members() if now - self.heard.get(name, -1e9) < DEAD_S}
 
-    def _store_members(self) -> dict[str, str]:
-        """Zone of each job store node that is known, by node#disk."""
+    def _store_members(self) -> dict[str, Place]:
+        """Place of each job store node that is known, by node#disk."""
         return {
-            member(node, m["disk"]): m["zone"]
+            member(node, m["disk"]): Place(m["zone"], m["region"])
             for node, m in self.control.state.named("member").items()
             if m["role"] == "store"
         }
@@ -191,29 +195,40 @@
             self.control.revise([("core", json.dumps(value).encode())])
 
     def stores(self) -> Stores:
-        living, zones = self._living_stores(), self._store_members()
+        living, places = self._living_stores(), self._store_members()
         # Another disk at the same name is another machine, and not meant.
         retiring = {member(node, r["disk"]) for node, r in self.control.state.named("retire").items()}
-        return Stores({m: zones[m] for m in sorted(living)}, frozenset(living & retiring))
+        return Stores({m: places[m] for m in sorted(living)}, frozenset(living & retiring))
+
+    def _stores_when_settled(self) -> Stores | None:
+        """None right after coming into office or a stall: who is dead isn't known yet."""
+        return self.stores() if self.loop.time() >= self._settled_at else None
 
     def parts(self) -> dict[int, Part]:
         return {int(n): Part.read(raw) for n, raw in self.control.state.named("part").items()}
 
-    @property
-    def copies(self) -> int:
-        return self.settings.survive_nodes + 1
-
     def _plan_parts(self) -> None:
         stores, records = self.stores(), self.parts()
         now = self.loop.time()
-        known = frozenset(stores.zones)
+        known = frozenset(stores.places)
         if known != self._stores:
             self._stores, self._stores_since = known, now
         if not records:
-            if now - self._stores_since > SETTLE_S:
-                self._revise_parts(planner.found(PARTITIONS, self.copies, stores))
+            patience = SETTLE_S if stores.attainable(self.wanted) == self.wanted else FULL_SPREAD_WAIT_S
+            if now - self._stores_since > patience:
+                self._revise_parts(planner.initial_records(PARTITIONS, self.wanted, stores))
             return
-        self._revise_parts(planner.plan(records, self.copies, stores, self._lost_now()))
+        self._log_spread(stores)
+        self._revise_parts(planner.plan(records, self.wanted, stores, self._lost_now()))
+
+    def _log_spread(self, stores: Stores) -> None:
+        """Say so when the machines that live begin or end to allow less than is asked for."""
+        attainable = stores.attainable(self.wanted)
+        if attainable != self._attainable:
+            self._attainable = attainable
+            short = attainable != self.wanted
+            level = "WARNING" if short else "INFO"
+            log("spread", level=level, short=short, zones=attainable.zones, regions=attainable.regions)
 
     async def _part_lost(self, link: Link, told: PartLost) -> None:
         record = self.parts().get(told.part)
@@ -337,7 +352,7 @@
             return Failure(Code.STALE_EPOCH, "another epoch")
         if told.member in record.learners:
             stores = self.stores().without(self._lost_now().get(told.part, set()) - {record.primary})
-            new = planner.synced(record, told.member, self.copies, stores)
+            new = planner.synced(record, told.member, self.wanted, stores)
             self._revise_parts({told.part: new})
         return Done()
 
--- a/otterreach/runtime/identity.py
+++ b/otterreach/runtime/identity.py
@@ -13,3 +13,8 @@
 def member(node: str, disk: str) -> str:
     """How a machine with a disk is named in records."""
     return f"{node}#{disk}"
+
+
+def node_of(name: str) -> str:
+    """The node of a member, whatever its disk."""
+    return name.partition("#")[0]
--- a/otterreach/runtime/settings.py
+++ b/otterreach/runtime/settings.py
@@ -58,7 +58,9 @@
     datadir: Path | None
     heartbeat_s: float
     contracts: frozenset[str]
-    survive_nodes: int
+    survive_nodes: int  # machines that may be lost at once
+    survive_zones: int  # or zones
+    survive_regions: int  # or regions
     bounds: Bounds = field(repr=False)
 
     @property
@@ -139,6 +141,8 @@
         heartbeat_s=row.number("heartbeatMs", 1000.0) / 1000,
         contracts=frozenset(str(name) for name in row.items("inForce")),
         survive_nodes=max(0, survive.integer("nodes", 1)),
+        survive_zones=max(0, survive.integer("zones", 0)),
+        survive_regions=max(0, survive.integer("regions", 0)),
         bounds=_bounds(row.child("slas", required=False)),
     )
 
--- a/tests/jobstore_world.py
+++ b/tests/jobstore_world.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from otterreach.controller import planner
+from otterreach.controller.spread import Place, Spread
 from otterreach.jobstore.jobs import Kind
 from otterreach.jobstore.leadership import PartitionLeader
 from otterreach.jobstore.messages import (
@@ -50,6 +51,7 @@
 }
 ROUTE = {"name": "r-lot", "host": "h", "prefix": "/p/", "kind": "rollout", "dueMs": 5000, "maxWaitS": 30}
 REGISTRAR = "core:7000"
+TWO = Spread.surviving(1, 0, 0)
 
 
 def body_of(job: str, item: int) -> bytes:
@@ -135,11 +137,14 @@
 class World:
     """Everything. `alive` is what the controller believes."""
 
-    def __init__(self, stores: int = 3, seed: int = 1, copies: int = 2) -> None:
+    def __init__(
+        self, stores: int = 3, seed: int = 1, wanted: Spread = TWO, zones: dict[str, str] | None = None
+    ) -> None:
         self.random = Random(seed)
         self.net = Net(self.random)
         self.control = ReplicatedStore()
-        self.copies, self.rev = copies, 0
+        self.wanted, self.rev = wanted, 0
+        self.zones = zones or {}  # by name; else each store is a zone of its own
         self.failures: list[BaseException] = []
         self.stores: dict[str, Store] = {}
         self.alive: set[str] = set()
@@ -196,12 +201,21 @@
             self.alive.add(name)
             self.put(
                 f"member/{store.name}",
-                {"role": "store", "address": store.address, "zone": store.name, "region": "r", "disk": store.node.disk},
+                {
+                    "role": "store",
+                    "address": store.address,
+                    "zone": self.zone(store.name),
+                    "region": "r",
+                    "disk": store.node.disk,
+                },
             )
         self.plan()
 
     def known(self) -> planner.Stores:
-        return planner.Stores({m: m.partition("#")[0] for m in sorted(self.alive)})
+        return planner.Stores({m: Place(self.zone(m.partition("#")[0]), "r") for m in sorted(self.alive)})
+
+    def zone(self, name: str) -> str:
+        return self.zones.get(name, name)
 
     def parts(self) -> dict[int, planner.Part]:
         return {int(n): planner.Part.read(raw) for n, raw in self.control.named("part").items()}
@@ -210,7 +224,11 @@
         records, known = self.parts(), self.known()
         if not records and len(self.stores) < self.founding:
             return
-        plan = planner.plan(records, self.copies, known) if records else planner.found(PARTITIONS, self.copies, known)
+        plan = (
+            planner.plan(records, self.wanted, known)
+            if records
+            else planner.initial_records(PARTITIONS, self.wanted, known)
+        )
         for n, part in plan.items():
             self.put(f"part/{n}", part.json())
 
@@ -219,7 +237,7 @@
         if record.epoch != told.epoch:
             return Failure(Code.STALE_EPOCH, "another epoch")
         if told.member in record.learners:
-            self.put(f"part/{told.part}", planner.synced(record, told.member, self.copies, self.known()).json())
+            self.put(f"part/{told.part}", planner.synced(record, told.member, self.wanted, self.known()).json())
         return Done()
 
     async def _lost(self, link: Any, told: PartLost) -> None:
--- a/tests/test_jobstore_copies.py
+++ b/tests/test_jobstore_copies.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from otterreach.controller.spread import Spread
 from otterreach.jobstore.messages import Entry, JobAppend, PartEpochs, PartPing, Results
 from otterreach.jobstore.partition import Copy, CopyState
 from otterreach.jobstore.replication import FRESH_S
@@ -313,6 +314,47 @@
         play(scene)
 
 
+class ZonesTest(unittest.TestCase):
+    """With `survive.zones` any zone may go, before and right after a repair."""
+
+    def test_what_was_acknowledged_outlasts_any_zone(self) -> None:
+        zones = {"store-0": "a", "store-1": "a", "store-2": "b", "store-3": "b"}
+        for lost in ("a", "b"):
+            with self.subTest(lost):
+                run(lambda lost=lost: self._lose_zone(World(4, 1, Spread.surviving(1, 1, 0), zones), lost))  # type: ignore[misc]
+
+    async def _lose_zone(self, world: World, lost: str) -> None:
+        client = Client(world)
+        jobs = [f"job{n}" for n in range(20)]
+        await asyncio.sleep(1.0)
+        for job in jobs:
+            self.assertEqual(Done(), await client.submit(job))
+        gone = [store for store in world.stores.values() if world.zone(store.name) == lost]
+        for store in gone:
+            store.wipe()
+            world.believe(store, lives=False)
+        for job in jobs:
+            store = await world.serving(job)
+            self.assertIsInstance(await client.read(job, store=store), Results)
+        for store in gone:
+            store.start()
+            world.believe(store)
+        await self._full_strength(world)
+        for job in jobs:
+            store = await world.serving(job)
+            self.assertIsInstance(await client.read(job, store=store), Results)
+        world.check()
+
+    async def _full_strength(self, world: World) -> None:
+        for _ in range(200):
+            await asyncio.sleep(0.1)
+            world.plan()
+            places = world.known().places
+            if all(world.wanted.holds(r.members, places) and not r.learners for r in world.parts().values()):
+                return
+        self.fail("never spread again")
+
+
 class FenceTest(unittest.TestCase):
     """The backup's side, by messages."""
 
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -8,18 +8,20 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from otterreach.controller.planner import Part, Stores, found, plan, synced
+from otterreach.controller.planner import Part, Stores, initial_records, plan, synced
+from otterreach.controller.spread import Place, Spread
 
+TWO = Spread.surviving(1, 0, 0)
 ZONES = {"a#1": "z1", "b#1": "z2", "c#1": "z3", "d#1": "z1"}
 
 
 def stores(*names: str, retiring: tuple[str, ...] = ()) -> Stores:
-    return Stores({n: ZONES.get(n, "z1") for n in names}, frozenset(retiring))
+    return Stores({n: Place(ZONES.get(n, "z1"), "r") for n in names}, frozenset(retiring))
 
 
 class PlannerTest(unittest.TestCase):
     def test_the_first_records_are_spread_over_members_and_zones(self) -> None:
-        records = found(16, 2, stores("a#1", "b#1", "c#1"))
+        records = initial_records(16, TWO, stores("a#1", "b#1", "c#1"))
         heads = Counter(r.primary for r in records.values())
         load = Counter(m for r in records.values() for m in r.members)
         self.assertEqual(len(records), 16)
@@ -29,52 +31,52 @@
             self.assertEqual(len({ZONES[m] for m in record.members}), 2)
 
     def test_too_few_archivists_found_nothing(self) -> None:
-        self.assertEqual(found(16, 2, stores("a#1")), {})
+        self.assertEqual(initial_records(16, TWO, stores("a#1")), {})
 
     def test_a_dead_primary_gives_way_to_a_living_backup_and_another_joins(self) -> None:
-        new = plan({0: Part(4, "a#1", ("b#1",))}, 2, stores("b#1", "c#1"))[0]
+        new = plan({0: Part(4, "a#1", ("b#1",))}, TWO, stores("b#1", "c#1"))[0]
         self.assertEqual((new.epoch, new.primary, new.backups, new.learners), (5, "b#1", ("a#1",), ("c#1",)))
-        done = synced(new, "c#1", 2, stores("b#1", "c#1"))
+        done = synced(new, "c#1", TWO, stores("b#1", "c#1"))
         self.assertEqual((done.primary, done.backups, done.learners), ("b#1", ("c#1",), ()))
 
     def test_all_held_dead_one_after_the_other_leaves_whoever_has_all_in_the_record(self) -> None:
         records = {0: Part(4, "a#1", ("b#1",))}
-        records |= plan(records, 2, stores("b#1"))
-        self.assertEqual(plan(records, 2, stores()), {})
-        records |= plan(records, 2, stores("a#1", "b#2"))  # b has lost its disk
+        records |= plan(records, TWO, stores("b#1"))
+        self.assertEqual(plan(records, TWO, stores()), {})
+        records |= plan(records, TWO, stores("a#1", "b#2"))  # b has lost its disk
         self.assertEqual(records[0].primary, "a#1")
 
     def test_a_dead_backup_stays_until_a_joiner_has_all(self) -> None:
-        new = plan({0: Part(4, "a#1", ("b#1",))}, 2, stores("a#1", "c#1"))[0]
+        new = plan({0: Part(4, "a#1", ("b#1",))}, TWO, stores("a#1", "c#1"))[0]
         self.assertEqual((new.primary, new.backups, new.learners), ("a#1", ("b#1",), ("c#1",)))
-        done = synced(new, "c#1", 2, stores("a#1", "c#1"))
+        done = synced(new, "c#1", TWO, stores("a#1", "c#1"))
         self.assertEqual((done.epoch, done.backups, done.learners), (6, ("c#1",), ()))
 
     def test_with_no_member_alive_nothing_changes(self) -> None:
-        self.assertEqual(plan({0: Part(4, "a#1", ("b#1",))}, 2, stores("c#1", "d#1")), {})
+        self.assertEqual(plan({0: Part(4, "a#1", ("b#1",))}, TWO, stores("c#1", "d#1")), {})
 
     def test_a_wiped_member_is_another_and_never_takes_over(self) -> None:
-        new = plan({0: Part(4, "a#1", ("b#1",))}, 2, stores("a#2", "b#1"))[0]
+        new = plan({0: Part(4, "a#1", ("b#1",))}, TWO, stores("a#2", "b#1"))[0]
         self.assertEqual((new.primary, new.learners), ("b#1", ("a#2",)))
 
     def test_a_retiring_member_leaves_only_after_another_has_all(self) -> None:
         record = Part(1, "a#1", ("b#1",))
-        new = plan({0: record}, 2, stores("a#1", "b#1", "c#1", retiring=("a#1",)))[0]
+        new = plan({0: record}, TWO, stores("a#1", "b#1", "c#1", retiring=("a#1",)))[0]
         self.assertEqual((new.members, new.learners), (record.members, ("c#1",)))
-        done = synced(new, "c#1", 2, stores("a#1", "b#1", "c#1", retiring=("a#1",)))
+        done = synced(new, "c#1", TWO, stores("a#1", "b#1", "c#1", retiring=("a#1",)))
         self.assertEqual(set(done.members), {"b#1", "c#1"})
 
     def test_a_new_archivist_gets_its_share_and_then_all_is_calm(self) -> None:
-        records = found(16, 2, stores("a#1", "b#1"))
+        records = initial_records(16, TWO, stores("a#1", "b#1"))
         for _ in range(200):
             all_of = stores("a#1", "b#1", "c#1")
-            changes = plan(records, 2, all_of)
+            changes = plan(records, TWO, all_of)
             if not changes:
                 break
             records |= changes
             for n, record in list(records.items()):
                 for joiner in record.learners:
-                    records[n] = synced(records[n], joiner, 2, all_of)
+                    records[n] = synced(records[n], joiner, TWO, all_of)
         self.assertEqual(changes, {})
         load = Counter(m for r in records.values() for m in r.members)
         self.assertLessEqual(max(load.values()) - min(load.values()), 3)
@@ -83,10 +85,10 @@
     @settings(max_examples=200, deadline=None)
     @given(st.lists(st.tuples(st.sets(st.sampled_from(sorted(ZONES)), min_size=1), st.booleans()), max_size=12))
     def test_a_primary_is_always_one_that_had_all(self, steps: list[tuple[set[str], bool]]) -> None:
-        records = found(4, 2, stores(*ZONES))
+        records = initial_records(4, TWO, stores(*ZONES))
         for living, sync in steps:
             now = stores(*sorted(living))
-            for n, new in plan(records, 2, now).items():
+            for n, new in plan(records, TWO, now).items():
                 old = records[n]
                 self.assertGreater(new.epoch, old.epoch)
                 self.assertIn(new.primary, old.members)
@@ -95,7 +97,7 @@
             if sync:
                 for n, record in list(records.items()):
                     if record.primary in living and record.learners:
-                        records[n] = synced(record, record.learners[0], 2, now)
+                        records[n] = synced(record, record.learners[0], TWO, now)
                         self.assertGreaterEqual(len(records[n].members), 2)
 
 
--- /dev/null
+++ b/tests/test_spread.py
@@ -0,0 +1,208 @@
+"""Copies of partitions outlast every loss that `survive` allows: machines, zones or regions, each alone."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+from collections import Counter
+from collections.abc import Collection, Iterator
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from otterreach.controller.planner import Part, Stores, initial_records, plan, synced, trim
+from otterreach.controller.spread import Place, Spread
+
+PARTS = 4
+MOST_STEPS = 200
+PLACES = {
+    "a1#1": Place("a", "north"),
+    "a2#1": Place("a", "north"),
+    "b1#1": Place("b", "north"),
+    "b2#1": Place("b", "north"),
+    "c1#1": Place("c", "south"),
+    "c2#1": Place("c", "south"),
+    "d1#1": Place("d", "south"),
+    "e1#1": Place("e", "west"),
+}
+
+
+def stores(*names: str, retiring: tuple[str, ...] = ()) -> Stores:
+    return Stores({f"{n}#1": PLACES[f"{n}#1"] for n in names}, frozenset(f"{n}#1" for n in retiring))
+
+
+def losses(places: dict[str, Place], survive: tuple[int, int, int]) -> Iterator[set[str]]:
+    """Every set of machines that may go at once."""
+    nodes, zones, regions = survive
+    for gone in itertools.combinations(sorted(places), min(nodes, len(places))):
+        yield set(gone)
+    for count, attribute in ((zones, "zone"), (regions, "region")):
+        found = sorted({str(getattr(p, attribute)) for p in places.values()})
+        for names in itertools.combinations(found, min(count, len(found))):
+            yield {m for m, p in places.items() if getattr(p, attribute) in names}
+
+
+class SpreadTest(unittest.TestCase):
+    def test_the_number_of_copies_follows(self) -> None:
+        for survive, copies in (((1, 0, 0), 2), ((2, 0, 0), 3), ((0, 1, 0), 2), ((1, 2, 0), 3), ((1, 1, 2), 3)):
+            with self.subTest(survive):
+                self.assertEqual(copies, Spread.surviving(*survive).copies)
+
+    def test_what_is_spread_enough(self) -> None:
+        table: list[tuple[tuple[int, int, int], tuple[str, ...], bool]] = [
+            ((1, 0, 0), ("a1", "a2"), True),
+            ((1, 1, 0), ("a1", "a2"), False),
+            ((1, 1, 0), ("a1", "b1"), True),
+            ((1, 1, 1), ("a1", "b1"), False),
+            ((1, 1, 1), ("a1", "c1"), True),
+            ((1, 2, 1), ("a1", "c1"), False),
+            ((1, 2, 1), ("a1", "b1", "c1"), True),
+            ((2, 0, 0), ("a1", "c1"), False),
+        ]
+        for survive, members, enough in table:
+            with self.subTest(f"{survive} {members}"):
+                found = Spread.surviving(*survive).holds([f"{m}#1" for m in members], PLACES)
+                self.assertEqual(enough, found)
+
+    def test_the_number_of_copies_is_never_let_go_of(self) -> None:
+        places = {"a1#1": PLACES["a1#1"]}
+        self.assertEqual(Spread(3, 1, 1), Spread.surviving(2, 2, 1).attainable(places))
+
+
+class PlannedSpreadTest(unittest.TestCase):
+    def test_the_first_records_are_in_as_many_zones_and_regions_as_asked(self) -> None:
+        everywhere = stores("a1", "a2", "b1", "b2", "c1", "c2", "d1", "e1")
+        for survive in ((1, 0, 0), (1, 1, 0), (1, 1, 1), (1, 2, 0), (1, 2, 1), (2, 1, 2), (0, 1, 0)):
+            wanted = Spread.surviving(*survive)
+            with self.subTest(survive):
+                for record in initial_records(16, wanted, everywhere).values():
+                    self.assertTrue(wanted.holds(record.members, PLACES))
+                    self.assertEqual(wanted.copies, len(record.members))
+
+    def test_a_repair_takes_another_zone_though_the_own_one_has_less_to_do(self) -> None:
+        records = {n: Part(1, "a1#1", ("b1#1",)) for n in range(4)}
+        changes = plan(records, Spread.surviving(1, 1, 0), stores("a1", "a2", "c1"))
+        self.assertEqual([("c1#1",)] * 4, [record.learners for record in changes.values()])
+
+    def test_with_one_zone_left_the_copies_are_on_other_machines_and_go_back_when_the_zone_does(self) -> None:
+        wanted = Spread.surviving(1, 1, 0)
+        one_zone = stores("a1", "a2")
+        record = plan({0: Part(1, "b1#1", ("a1#1",))}, wanted, one_zone)[0]
+        self.assertEqual(("a2#1",), record.learners)
+        record = synced(record, "a2#1", wanted, one_zone)
+        self.assertEqual({"a1#1", "a2#1"}, set(record.members))
+        both = stores("a1", "a2", "b1")
+        record = plan({0: record}, wanted, both)[0]
+        self.assertEqual(("b1#1",), record.learners)
+        record = synced(record, "b1#1", wanted, both)
+        record = plan({0: record}, wanted, both)[0]
+        self.assertEqual(2, len(record.members))
+        self.assertTrue(wanted.holds(record.members, PLACES))
+
+    def test_copies_in_one_zone_are_spread_when_zones_are_asked_for(self) -> None:
+        changes = plan({0: Part(1, "a1#1", ("a2#1",))}, Spread.surviving(1, 1, 0), stores("a1", "a2", "b1"))
+        self.assertEqual(("b1#1",), changes[0].learners)
+
+    def test_a_retiring_member_stays_until_others_are_in_enough_zones(self) -> None:
+        wanted = Spread.surviving(1, 1, 0)
+        now = stores("a1", "a2", "b1", "b2", retiring=("b1",))
+        record = plan({0: Part(1, "a1#1", ("b1#1",))}, wanted, now)[0]
+        self.assertEqual((("b1#1",), ("b2#1",)), (record.backups, record.learners))
+        self.assertEqual(("b2#1",), synced(record, "b2#1", wanted, now).backups)
+        kept = synced(Part(2, "a1#1", ("b1#1",), ("a2#1",)), "a2#1", wanted, now)
+        self.assertIn("b1#1", kept.members)
+
+    def test_of_one_member_too_many_the_dead_one_leaves(self) -> None:
+        record = Part(3, "a1#1", ("b1#1", "c1#1"))
+        wanted = Spread.surviving(1, 0, 0)
+        trimmed = trim(record, wanted, stores("a1", "b1"), Counter({"a1#1": 9, "b1#1": 9}))
+        self.assertEqual(("a1#1", ("b1#1",)), (trimmed.primary, trimmed.backups))
+
+
+SURVIVE = st.tuples(st.integers(0, 2), st.integers(0, 2), st.integers(0, 2)).filter(any)
+MACHINES = st.sets(st.sampled_from(sorted(PLACES)), min_size=2)
+
+
+class Plan:
+    """Records that the planner changes, learner by learner, until nothing is left to change."""
+
+    def __init__(self, machines: set[str], wanted: Spread) -> None:
+        self.wanted = wanted
+        self.records = initial_records(PARTS, wanted, self.stores(machines))
+
+    def stores(self, living: set[str], retiring: Collection[str] = ()) -> Stores:
+        return Stores({m: PLACES[m] for m in sorted(living)}, frozenset(retiring))
+
+    def steps(self, living: set[str], retiring: Collection[str] = ()) -> Iterator[None]:
+        """Each change of a record by itself; ends when all is calm."""
+        now = self.stores(living, retiring)
+        for _ in range(MOST_STEPS):
+            changes = plan(self.records, self.wanted, now)
+            self.records |= changes
+            yield
+            syncing = [n for n, r in self.records.items() if r.learners and r.primary in living]
+            for n in syncing:
+                self.records[n] = synced(self.records[n], self.records[n].learners[0], self.wanted, now)
+                yield
+            if not changes and not syncing:
+                return
+        raise AssertionError("never calm")
+
+
+class AnyLossTest(unittest.TestCase):
+    @settings(max_examples=150, deadline=None)
+    @given(MACHINES, SURVIVE, st.data())
+    def test_any_allowed_loss_leaves_a_copy_before_and_after_every_repair(
+        self, machines: set[str], survive: tuple[int, int, int], data: st.DataObject
+    ) -> None:
+        wanted = Spread.surviving(*survive)
+        places = {m: PLACES[m] for m in machines}
+        if wanted.attainable(places) != wanted or len(machines) < wanted.copies:
+            return  # these machines can't do it
+        it = Plan(machines, wanted)
+        for _ in range(3):
+            every = list(losses(places, survive))
+            for gone in every:
+                for record in it.records.values():
+                    self.assertTrue(set(record.members) - gone, f"{record} without {gone}")
+            gone = data.draw(st.sampled_from(every))
+            for _ in it.steps(machines - gone):
+                for record in it.records.values():
+                    self.assertTrue(set(record.members) - gone)
+            self._check_strength(it, machines - gone)
+            for _ in it.steps(machines):
+                pass
+            self._check_strength(it, machines)
+
+    def _check_strength(self, it: Plan, living: set[str]) -> None:
+        target = it.wanted.attainable({m: PLACES[m] for m in living})
+        if len(living) < target.copies:
+            return
+        for record in it.records.values():
+            self.assertTrue(target.holds(set(record.members) & living, PLACES), f"{record} {target}")
+
+    @settings(max_examples=100, deadline=None)
+    @given(MACHINES, SURVIVE, st.data())
+    def test_moves_and_retiring_never_have_less_than_was_asked_for(
+        self, machines: set[str], survive: tuple[int, int, int], data: st.DataObject
+    ) -> None:
+        wanted = Spread.surviving(*survive)
+        first = data.draw(st.sets(st.sampled_from(sorted(machines)), min_size=1))
+        if wanted.attainable({m: PLACES[m] for m in first}) != wanted or len(first) < wanted.copies:
+            return
+        it = Plan(first, wanted)
+        retiring = {data.draw(st.sampled_from(sorted(machines)))}
+        staying = {m: PLACES[m] for m in machines - retiring}
+        for _ in it.steps(machines):
+            for record in it.records.values():
+                self.assertTrue(wanted.holds(record.members, PLACES), f"moved: {record}")
+        if wanted.attainable(staying) != wanted or len(staying) < wanted.copies:
+            return
+        for _ in it.steps(machines, retiring):
+            for record in it.records.values():
+                self.assertTrue(wanted.holds(record.members, PLACES), f"retiring: {record}")
+        self.assertFalse(retiring & {m for r in it.records.values() for m in r.members})
+
+
+if __name__ == "__main__":
+    unittest.main()
