--- a/otterreach/simulation/__main__.py
+++ b/otterreach/simulation/__main__.py
@@ -10,7 +10,8 @@
 
 from cyclopts import App
 
-from otterreach.simulation import control, jobs
+from otterreach.simulation import control, explore, jobs
+from otterreach.simulation.explore import Found
 from otterreach.simulation.faults import Plan
 from otterreach.simulation.world import World
 
@@ -91,6 +92,33 @@
     sys.exit(1 if failed else 0)
 
 
+def search(name: str, within_s: float, seed: int) -> tuple[str, Found]:
+    return name, explore.explore(name, within_s, seed=seed)
+
+
+@app.command(name="explore")
+def explore_all(scenario: str = "", within_s: float = 60.0, jobs_at_once: int = 1, seed: int = 0) -> None:
+    """Search the small model's orders of events; the exit status is 1 if an invariant was broken.
+
+    Parameters
+    ----------
+    scenario: one of otterreach.simulation.explore.SCENARIOS; all if none is named
+    within_s: at most so long for each
+    jobs_at_once: processes
+    seed: of the order in which choices are tried; 0: as they are listed
+    """
+    names = [scenario] if scenario else list(explore.SCENARIOS)
+    broken = False
+    with ProcessPoolExecutor(jobs_at_once) as pool:
+        for name, found in pool.map(search, names, [within_s] * len(names), [seed] * len(names)):
+            print(f"scenario={name} {found.summary()}", flush=True)
+            if found.failure:
+                broken = True
+                print(f"  broken={found.failure!r} by these events:")
+                print("\n".join(f"    {' '.join(event)}" for event in found.trace))
+    sys.exit(1 if broken else 0)
+
+
 if __name__ == "__main__":
     if os.environ.get("PYTHONHASHSEED") != "0":  # the order of sets of names would differ from start to start
         command = [sys.executable, "-m", "otterreach.simulation", *sys.argv[1:]]
--- /dev/null
+++ b/otterreach/simulation/small_checks.py
@@ -0,0 +1,116 @@
+"""The invariants that hold after each event of the small model, and for each reply before it leaves."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from otterreach.controller.messages import Accepted, Append, Install, Promise
+from otterreach.controller.replication import ITEMS, PROMISE, RECORD, STATE, Control
+from otterreach.runtime.codec import decode
+from otterreach.runtime.journal import Record as Entry
+from otterreach.runtime.rpc import Done
+from otterreach.runtime.store import ReplicatedStore
+from otterreach.simulation.small_parts import FIRST_ITEM, Member
+from otterreach.simulation.world import Broken
+
+
+@dataclass
+class Seen:
+    """What the outside has been told."""
+
+    acked: dict[str, int] = field(default_factory=lambda: {FIRST_ITEM.key: FIRST_ITEM.rev})
+    primaries: dict[int, str] = field(default_factory=dict)
+    promised: dict[str, int] = field(default_factory=dict)  # by id: the highest number in a promise that has left
+    number: dict[tuple[str, int], int] = field(default_factory=dict)  # by id and life: the highest of a record
+
+
+class Checks:
+    """What has been seen in one run, and what it broke first."""
+
+    def __init__(self) -> None:
+        self.seen = Seen()
+        self.failure: Broken | None = None
+
+    def expect(self, holds: Any, rule: str, what: str) -> None:
+        if not holds and self.failure is None:
+            self.failure = Broken(rule, what)
+
+    def life_begins(self, member: Member) -> None:
+        """A member that comes back goes on from what it has said."""
+        control = member.control
+        said = self.seen.promised.get(control.id, 0)
+        self.expect(control.promised >= said, "promise forgotten", f"{control.id}: {control.promised} after {said}")
+
+    def reply(self, member: Member, ask: Any, reply: Any) -> None:
+        """A reply is about to leave: what it says has to be on disk, and to fit with what was said before."""
+        ident, said = member.control.id, self.seen.promised
+        if isinstance(reply, Promise) and reply.ok and not ask.probe:
+            self.expect(member.control.accepted, "empty disk votes", f"{ident} promises {ask.number}")
+            self.expect(ask.number > said.get(ident, 0), "promised twice", f"{ident}: {ask.number}")
+            self.expect(synced_promise(member.disk) >= ask.number, "answered before it was synced", f"{ident} {ask}")
+            said[ident] = max(said.get(ident, 0), ask.number)
+        elif isinstance(reply, Accepted) and reply.ok:
+            number = ask.record[0].number
+            self.expect(synced_promise(member.disk) >= number, "answered before it was synced", f"{ident} {number}")
+            self._not_lower(ident, number)
+        elif isinstance(ask, Append | Install) and isinstance(reply, Done):
+            self.expect(
+                synced_items(member.disk, ask), "answered before it was synced", f"{ident} {type(ask).__name__}"
+            )
+            self._not_lower(ident, ask.number)
+
+    def _not_lower(self, ident: str, number: int) -> None:
+        said = self.seen.promised.get(ident, 0)
+        self.expect(number >= said, "acts under a lower epoch", f"{ident} in {number}, promised {said}")
+
+    def states(self, members: list[Member]) -> None:
+        """After each event."""
+        highest = None
+        for member in members:
+            control = member.control
+            life = (control.id, member.life)
+            last = self.seen.number.get(life, 0)
+            self.expect(control.number >= last, "epoch falls", f"{control.id}: {control.number} after {last}")
+            self.seen.number[life] = control.number
+            if control.is_primary:
+                known = self.seen.primaries.setdefault(control.number, control.id)
+                self.expect(known == control.id, "two primaries", f"{known} and {control.id} in {control.number}")
+                if highest is None or control.number > highest.number:
+                    highest = control
+        if highest is not None and highest.number == max(self.seen.primaries):
+            self._acked(highest, members)
+
+    def _acked(self, primary: Control, members: list[Member]) -> None:
+        """All that was acknowledged is at the primary and at each of its backups that kept its disk."""
+        record = primary.accepted
+        assert record is not None
+        for control in [m.control for m in members if m.control.id in record.members]:
+            for key, rev in self.seen.acked.items():
+                item = control.state.items.get(key)
+                have = item.rev if item else 0
+                self.expect(have >= rev, "acknowledged is gone", f"{key} {rev:x} at {control.id} in {record.number}")
+
+
+def synced_promise(disk: list[Entry]) -> int:
+    """The highest number that the disk holds its member to."""
+    highest = 0
+    for kind, payload in disk:
+        if kind == PROMISE:
+            highest = max(highest, int(payload))
+        elif kind == RECORD:
+            highest = max(highest, decode(22, payload).record[0].number)
+        elif kind == STATE:
+            highest = max(highest, decode(24, payload).number)
+    return highest
+
+
+def synced_items(disk: list[Entry], ask: Append | Install) -> bool:
+    """Whether the disk has the items of a message."""
+    store = ReplicatedStore()
+    for kind, payload in disk:
+        if kind == STATE:
+            store = ReplicatedStore()
+        if kind in (STATE, ITEMS):
+            store.apply(decode(24 if kind == STATE else 25, payload).items)
+    return all(i.key in store.items and store.items[i.key].rev >= i.rev for i in ask.items)
--- /dev/null
+++ b/otterreach/simulation/small_model.py
@@ -0,0 +1,285 @@
+"""A few controllers whose every message, sync, timer and fault is one event that a search may run in any order.
+
+The controllers are the real ones (otterreach.controller). An event touches one member alone, so that two orders of
+events that give each member the same history are the same state.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from otterreach.controller.messages import Accept, Append, ControllerInfo, Record
+from otterreach.controller.replication import ITEMS, RECORD, Control, Mode
+from otterreach.runtime.codec import encode
+from otterreach.runtime.codes import Code, Failure
+from otterreach.simulation.small_checks import Checks
+from otterreach.simulation.small_parts import FIRST_ITEM, SHORT_S, Bounds, Call, Event, Member, Message, StepLoop
+from otterreach.simulation.world import Broken
+
+
+class Model:
+    """One run. `events` are what may happen next, `step` lets one happen and checks all invariants."""
+
+    def __init__(self, bounds: Bounds) -> None:
+        self.bounds, self.checks = bounds, Checks()
+        self.loop = StepLoop()
+        self.loop.set_exception_handler(self._unhandled)
+        self.flight: list[Message] = []
+        self.calls: list[Call] = []
+        self.order: list[Event] = []  # messages and syncs, the oldest first
+        self.used: dict[str, int] = {}
+        self.cut: dict[str, str] = {}  # by member: "in", "out" or "both"
+        self.members = [Member(self, n) for n in range(bounds.members)]
+        self._start()
+
+    def _start(self) -> None:
+        """All have record 1 and its first item on disk; its primary is in office."""
+        infos = [ControllerInfo(f"id{m.number}", m.name, m.settings.address, m.settings.zone) for m in self.members]
+        record = Record(1, "id0", [f"id{n + 1}" for n in range(self.bounds.survive)], infos)
+        for member in self.members:
+            member.disk = [(1, f"id{member.number} 0".encode()), (RECORD, encode(Accept([record])))]
+            if f"id{member.number}" in record.members:
+                member.disk.append((ITEMS, encode(Append(1, [FIRST_ITEM]))))
+            member.begin()
+        first = self.members[0]
+        first.control._installed = [FIRST_ITEM]
+        first.run(first.control._take_office)
+        self.checks.states(self.members)
+
+    @property
+    def failure(self) -> Broken | None:
+        return self.checks.failure
+
+    def end(self) -> None:
+        """Drop what is left in silence."""
+        self.loop.over = True
+        for member in self.members:
+            for task in member.tasks:
+                task._log_destroy_pending = False  # type: ignore[attr-defined]
+
+    def _unhandled(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        if not self.loop.over:
+            self.checks.expect(False, "unhandled", f"{context.get('message')}: {context.get('exception')!r}")
+
+    def at(self, address: str) -> Member:
+        return next(m for m in self.members if m.settings.address == address)
+
+    # Messages ------------------------------------------------------------------------------------
+
+    def _put(self, call: Call, sender: Member, channel: tuple[str, ...], deliver: Callable[[], None]) -> None:
+        sender.sent += 1
+        message = Message(f"{sender.name}.{sender.sent}", channel, deliver, call)
+        self.flight.append(message)
+        self.order.append(("deliver", message.ident))
+
+    def request(self, call: Call, value: Any) -> None:
+        caller, target = call.caller, call.target
+        caller.note("calls", target.name, target.life)
+        self.calls.append(call)
+        number = str(caller.connection.get(target.name, 0))
+        channel = (caller.name, str(call.caller_life), target.name, str(call.target_life), number)
+        self._put(call, caller, ("to", *channel), lambda: target.run(self._serve, call, value, channel))
+
+    def _serve(self, call: Call, value: Any, channel: tuple[str, ...]) -> None:
+        spawn(self._answer(call, value, channel))
+
+    async def _answer(self, call: Call, value: Any, channel: tuple[str, ...]) -> None:
+        target = call.target
+        handler = target.control.endpoint.handlers[type(value)]
+        no_link: Any = None
+        reply = await handler(no_link, value)
+        self.checks.reply(target, value, reply)
+        self._put(call, target, ("back", *channel), lambda: self._deliver_reply(call, reply))
+
+    def _deliver_reply(self, call: Call, reply: Any) -> None:
+        if call in self.calls:
+            self.calls.remove(call)
+        call.caller.run(_set, call.future, reply)
+
+    # Events --------------------------------------------------------------------------------------
+
+    def network(self) -> list[Event]:
+        """Messages that can arrive and syncs that can end, the oldest first."""
+        heads: dict[tuple[str, ...], str] = {}
+        for message in self.flight:
+            heads.setdefault(message.channel, message.ident)
+        first = {ident for channel, ident in heads.items() if not self._held(channel)}
+        return [event for event in self.order if event[0] == "sync" or event[1] in first]
+
+    def _held(self, channel: tuple[str, ...]) -> bool:
+        """Whether a cut stops this channel now."""
+        if channel[0] == "closed":
+            return False
+        sender, receiver = (channel[1], channel[3]) if channel[0] == "to" else (channel[3], channel[1])
+        return self.cut.get(sender, "") in ("out", "both") or self.cut.get(receiver, "") in ("in", "both")
+
+    def timers(self) -> list[Event]:
+        """The timers that may fire: of each member the first that is due."""
+        events: list[Event] = []
+        for member in self.members:
+            timer = member.due()
+            if timer is None:
+                continue
+            short = timer.when() - member.clock <= SHORT_S
+            if short or self._may("time_out", self.bounds.time_outs):
+                events.append(("grace" if short else "time_out", member.name))
+        return events
+
+    def others(self) -> list[Event]:
+        """What clients and faults may do, within the bounds."""
+        events: list[Event] = []
+        for member in self.members:
+            events += self._of_member(member)
+        return events
+
+    def _may(self, kind: str, most: int) -> bool:
+        return self.used.get(kind, 0) < most
+
+    def _of_member(self, member: Member) -> list[Event]:
+        bounds, control, events = self.bounds, member.control, list[Event]()
+        if control.is_primary and self._may("write", bounds.writes):
+            events.append(("write", member.name))
+        if control.is_primary and self._may("read", bounds.reads):
+            events.append(("read", member.name))
+        stands = control.mode in (Mode.FOLLOWING, Mode.PRIMARY) and control._may_stand() and not control._electing
+        if stands and self._may("elect", bounds.elections):
+            events.append(("elect", member.name))
+        if control.is_primary and not control._electing and self._may("reform", bounds.reforms):
+            events += [("reform", member.name, m.name) for m in self.members if m.control.accepted is None]
+        if member.name in self.cut:
+            events.append(("heal", member.name))
+        elif self._may("cut", bounds.cuts):
+            events += [("cut", member.name, way) for way in ("in", "out", "both")]
+        if self._may("crash", bounds.crashes):
+            events.append(("crash", member.name, "lost"))
+            if member.journal.batch:
+                events.append(("crash", member.name, "kept"))
+        if self._may("wipe", bounds.wipes):
+            events.append(("wipe", member.name))
+        return events
+
+    def step(self, event: Event) -> None:
+        kind, name = event[0], event[1]
+        if kind in ("deliver", "sync"):
+            skipped = [e for e in self.network() if e != event and self.order.index(e) < self.order.index(event)]
+            self.order = [e for e in self.order if e != event and e not in skipped] + skipped
+        else:
+            self.used[kind] = self.used.get(kind, 0) + 1
+        if kind == "deliver":
+            self._deliver(name)
+        else:
+            member = next(m for m in self.members if m.name == name)
+            member.note(*event, *(sorted(self.checks.seen.acked.items()) if kind == "read" else ()))
+            getattr(self, f"_do_{kind}")(member, *event[2:])
+        self.checks.states(self.members)
+
+    def _deliver(self, ident: str) -> None:
+        message = next(m for m in self.flight if m.ident == ident)
+        self.flight.remove(message)
+        receiver = message.call.target if message.channel[0] == "to" else message.call.caller
+        receiver.note("deliver", ident)
+        message.deliver()
+
+    def _do_sync(self, member: Member) -> None:
+        member.run(member.journal.synced)
+
+    def _do_grace(self, member: Member) -> None:
+        timer = member.due()
+        assert timer is not None
+        member.fire(timer)
+
+    _do_time_out = _do_grace
+
+    def _do_write(self, member: Member) -> None:
+        member.run(self._write, member.control, self.used["write"])
+
+    def _write(self, control: Control, number: int) -> None:
+        done = control.revise([("config", str(number).encode())])
+        rev = control.state.items["config"].rev
+        done.add_done_callback(lambda future: self._acked("config", rev) if future.result() else None)
+
+    def _acked(self, key: str, rev: int) -> None:
+        self.checks.seen.acked[key] = max(rev, self.checks.seen.acked.get(key, 0))
+
+    def _do_read(self, member: Member) -> None:
+        member.run(lambda: spawn(self._read(member.control, dict(self.checks.seen.acked))))
+
+    async def _read(self, control: Control, acked: dict[str, int]) -> None:
+        if not await control.confirm():
+            return
+        for key, rev in acked.items():
+            item = control.follower.store.items.get(key)
+            have = item.rev if item else 0
+            self.checks.expect(
+                have >= rev, "stale read", f"{key} {have:x} at {control.id}, {rev:x} was acknowledged before"
+            )
+
+    def _do_elect(self, member: Member) -> None:
+        member.run(lambda: spawn(member.control._elect(set(), [])))
+
+    def _do_reform(self, member: Member, joiner: str) -> None:
+        """What the primary does with a member that asks in: the former disk at its address makes room."""
+        new = next(m for m in self.members if m.name == joiner).control.controller
+        record = member.control.accepted
+        assert record is not None
+        drop = {w.id for w in record.witnesses if w.address == new.address}
+        member.run(lambda: spawn(member.control._elect(drop, [new])))
+
+    def _do_cut(self, member: Member, way: str) -> None:
+        self.cut[member.name] = way
+
+    def _do_heal(self, member: Member) -> None:
+        del self.cut[member.name]
+
+    def _do_crash(self, member: Member, unsynced: str) -> None:
+        if unsynced == "kept":
+            member.disk += member.journal.batch
+        self._die(member)
+        member.begin()
+
+    def _do_wipe(self, member: Member) -> None:
+        self._die(member)
+        member.disk = []
+        member.begin()
+
+    def _die(self, member: Member) -> None:
+        """Its connections break: who waits for an answer learns of it, and what was on its way to it is gone."""
+        member.kill()
+        name = member.name
+        self.order = [e for e in self.order if e != ("sync", name)]
+        for call in [c for c in self.calls if c.target is member or c.caller is member]:
+            self.calls.remove(call)
+            arriving = [m for m in self.flight if m.call is call and m.channel[0] == "to"]
+            if call.target is member:
+                self._drop(arriving)
+                if call.caller is not member and not any(m.call is call for m in self.flight):
+                    closed = Failure(Code.CLOSED, "connection closed")
+                    self._put(call, member, ("closed", f"{member.name}.{member.sent}"), self._closing(call, closed))
+            else:
+                self._drop([m for m in self.flight if m.call is call and m.channel[0] == "back"])
+
+    def _closing(self, call: Call, closed: Failure) -> Callable[[], None]:
+        return lambda: self._deliver_reply(call, closed)
+
+    def _drop(self, messages: list[Message]) -> None:
+        for message in messages:
+            self.flight.remove(message)
+            self.order.remove(("deliver", message.ident))
+
+    def key(self, ordered: bool) -> Any:
+        """The state: what each member has lived through, and, if the search goes by it, the order of what waits."""
+        histories = tuple(m.history for m in self.members)
+        cuts = tuple(sorted(self.cut.items()))
+        return (histories, cuts, tuple(self.order)) if ordered else (histories, cuts)
+
+
+def spawn(work: Coroutine[Any, Any, Any]) -> None:
+    """Run beside all else; the member that runs it holds the task."""
+    asyncio.ensure_future(work)  # noqa: RUF006
+
+
+def _set(future: asyncio.Future[Any], value: Any) -> None:
+    if not future.done():
+        future.set_result(value)
--- /dev/null
+++ b/otterreach/simulation/small_parts.py
@@ -0,0 +1,271 @@
+"""The parts of the small model: a loop that runs what it is told to, a journal, an endpoint and a member.
+
+Endpoint, journal and clock stand in for the real ones. Each member has a clock of its own that only its timers move.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from contextvars import copy_context
+from dataclasses import dataclass
+from functools import cache
+from random import Random
+from typing import TYPE_CHECKING, Any
+
+from otterreach.controller.replication import Control
+from otterreach.runtime import settings
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.journal import Record as Entry
+from otterreach.runtime.settings import Settings
+from otterreach.runtime.store import Item, ReplicatedStore
+from otterreach.simulation.loop import OWNER, Process, VirtualLoop
+from otterreach.simulation.world import CTL, PORT, ZONES
+
+if TYPE_CHECKING:
+    from otterreach.simulation.small_model import Model
+
+FIRST_ITEM = Item("config", (1 << 24) | 1, b"0")
+SHORT_S = 0.05  # a timer of less is no time-out: it ends a wait for more than is needed
+Event = tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What may happen in one run, and how often."""
+
+    members: int = 3
+    survive: int = 1
+    writes: int = 1
+    elections: int = 1
+    time_outs: int = 0
+    crashes: int = 0
+    wipes: int = 0
+    reforms: int = 0
+    reads: int = 0
+    cuts: int = 0  # of one member from all others, in both directions or one
+    deviations: int | None = None  # times that an older message or sync is put behind; None: any number
+    depth: int = 60  # events
+
+
+class StepLoop(VirtualLoop):
+    """Runs only what is ready; timers belong to members, and fire when the search says so."""
+
+    def time(self) -> float:
+        owner = OWNER.get()
+        return owner.clock if isinstance(owner, Member) else 0.0
+
+    def call_at(self, when: float, callback: Any, *args: Any, context: Any = None) -> asyncio.TimerHandle:  # type: ignore[override]
+        timer = asyncio.TimerHandle(when, callback, args, self, context or copy_context())
+        owner = OWNER.get()
+        if isinstance(owner, Member) and not self.over:
+            owner.timers.append(timer)
+        return timer
+
+    def drain(self) -> None:
+        """Run callbacks until none is ready."""
+        ready: Any = self._ready  # type: ignore[attr-defined]
+        asyncio.events._set_running_loop(self)
+        try:
+            while ready:
+                self._run_handle(ready.popleft())
+        finally:
+            asyncio.events._set_running_loop(None)
+
+
+@dataclass(slots=True, eq=False)
+class Message:
+    """One message on its way. Only the first of a channel can arrive: a connection keeps the order."""
+
+    ident: str
+    channel: tuple[str, ...]
+    deliver: Callable[[], None]
+    call: Call
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """A request without its answer yet."""
+
+    caller: Member
+    caller_life: int
+    target: Member
+    target_life: int
+    future: asyncio.Future[Any]
+
+
+class ModelJournal:
+    """Records in memory; what a sync has covered lasts."""
+
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        self.size = 0
+        self.failed: Failure | None = None
+        self.pending: list[Entry] = []
+        self.batch: list[Entry] = []  # being synced
+        self.syncing: list[asyncio.Future[bool]] = []
+        self._waiting: list[asyncio.Future[bool]] = []
+
+    def append(self, kind: int, payload: bytes) -> None:
+        self.pending.append((kind, payload))
+
+    async def sync(self) -> bool:
+        future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        self._waiting.append(future)
+        if not self.syncing:
+            self._begin()
+        return await future
+
+    def _begin(self) -> None:
+        self.batch, self.pending = self.pending, []
+        self.syncing, self._waiting = self._waiting, []
+        if self.syncing:
+            self.member.model.order.append(("sync", self.member.name))
+
+    def synced(self) -> None:
+        """The disk has what was being synced."""
+        self.member.disk += self.batch
+        done, self.syncing, self.batch = self.syncing, [], []
+        for future in done:
+            if not future.done():
+                future.set_result(True)
+        if self._waiting:
+            self._begin()
+
+    async def rewrite(self, live: Callable[[], Iterable[Entry]]) -> bool:
+        raise NotImplementedError("a small model's journal never gets long")
+
+
+class ModelEndpoint:
+    """Calls become messages of the model."""
+
+    def __init__(self, member: Member) -> None:
+        self.member = member
+        self.handlers: dict[type, Any] = {}
+        self.links: set[Any] = set()
+
+    def on(self, kind: type, handler: Any) -> None:
+        self.handlers[kind] = handler
+
+    def spawn(self, work: Any) -> asyncio.Task[Any]:
+        return asyncio.ensure_future(work)
+
+    def linked(self, address: str) -> None:
+        return None
+
+    async def call(self, address: str, value: Any, timeout_s: float) -> Any:
+        member, model = self.member, self.member.model
+        target = model.at(address)
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[Any] = loop.create_future()
+        call = Call(member, member.life, target, target.life, future)
+        model.request(call, value)
+        timer = loop.call_later(timeout_s, member.expire, call)
+        try:
+            return await future
+        finally:
+            timer.cancel()
+
+
+class _Relay:
+    def publish(self, items: list[Item]) -> None:
+        """Nobody follows here."""
+
+
+class ModelFollower:
+    """What a controller uses of otterreach.runtime.relay.Follower."""
+
+    def __init__(self) -> None:
+        self.primary = ""
+        self.is_root = False
+        self.root_at = 0.0
+        self.controllers: list[str] = []
+        self.store = ReplicatedStore()
+        self.relay = _Relay()
+
+
+@cache
+def settings_of(name: str, number: int, survive: int) -> Settings:
+    ip = f"10.{number % 3 + 1}.0.{number + 1}"
+    raw = {
+        "node": name,
+        "machine": "core",
+        "ip": ip,
+        "az": ZONES[number % 3],
+        "region": "r",
+        "zones": dict.fromkeys(ZONES, "r"),
+        "portRange": [PORT, PORT + 15],
+        "binds": {kind: f"{ip}:{port}" for kind, port in (("ctl", CTL), ("front", 8001), ("readyz", 8002))},
+        "peers": [],
+        "bootstrap": False,
+        "counted": True,
+        "caps": {"ramMb": 300, "nofile": 4000, "diskMb": 300},
+        "datadir": "/nowhere",
+        "heartbeatMs": 1200,
+        "inForce": ["base"],
+        "survive": {"nodes": survive},
+        "slas": {},
+    }
+    return settings.read(raw)
+
+
+class Member(Process):
+    """One controller: its disk, its clock, and the history of its events."""
+
+    def __init__(self, model: Model, number: int) -> None:
+        self.settings = settings_of(f"m{number}", number, model.bounds.survive)
+        super().__init__(f"m{number}", self.settings.ip)
+        self.model, self.number = model, number
+        self.clock = 0.0
+        self.timers: list[asyncio.TimerHandle] = []
+        self.disk: list[Entry] = []
+        self.life = 0
+        self.history = 0  # a hash over all its events
+        self.sent = 0
+        self.connection: dict[str, int] = {}  # by target: rises after a time-out, which opens another one
+        self.control: Control
+        self.journal: ModelJournal
+
+    def note(self, *what: Any) -> None:
+        self.history = hash((self.history, what))
+
+    def run(self, work: Callable[..., Any], *args: Any) -> None:
+        """Something happens here."""
+        self.model.loop.call_as(self, work, *args)
+        self.model.loop.drain()
+
+    def begin(self) -> None:
+        """A new life on what the disk has."""
+        self.dead, self.timers, self.clock = False, [], self.clock + 10.0
+        self.life += 1
+        self.context = copy_context()
+        self.context.run(OWNER.set, self)
+        self.run(self._load)
+
+    def _load(self) -> None:
+        self.journal = ModelJournal(self)
+        endpoint: Any = ModelEndpoint(self)
+        follower: Any = ModelFollower()
+        journal: Any = self.journal
+        self.control = Control(self.settings, endpoint, journal, follower, Random(self.number))
+        self.control.load(list(self.disk))
+        self.model.checks.life_begins(self)
+        if self.journal.pending:  # a new id lasts before anything is answered
+            self.disk += self.journal.pending
+            self.journal.pending = []
+
+    def due(self) -> asyncio.TimerHandle | None:
+        self.timers = [t for t in self.timers if not t.cancelled()]
+        return min(self.timers, key=lambda t: t.when(), default=None)
+
+    def fire(self, timer: asyncio.TimerHandle) -> None:
+        self.timers.remove(timer)
+        self.clock = max(self.clock, timer.when())
+        self.model.loop.ready(timer)
+        self.model.loop.drain()
+
+    def expire(self, call: Call) -> None:
+        """A call is not waited for any longer; it may still arrive."""
+        if not call.future.done():
+            self.connection[call.target.name] = self.connection.get(call.target.name, 0) + 1
+            call.future.set_result(Failure(Code.TIMED_OUT, "no answer in time"))
