--- a/otterreach/simulation/explore.py
+++ b/otterreach/simulation/explore.py
@@ -9,7 +9,7 @@
 import gc
 import time
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass, field, replace
 from functools import cache
 from random import Random
@@ -17,7 +17,7 @@
 from unittest import mock
 
 import otterreach.runtime.log
-from otterreach.controller import replication
+from otterreach.controller import acceptor, primary, replica_state
 from otterreach.runtime import codec, identity
 from otterreach.simulation import small_checks, small_model
 from otterreach.simulation.small_model import Model
@@ -194,14 +194,15 @@
     gc.disable()
     try:
         with (
+            ExitStack() as stack,
             mock.patch.object(identity, "draw", lambda: f"new{next(ids)}"),
             mock.patch.object(otterreach.runtime.log, "_logger", logger),
-            mock.patch.object(replication, "STICKY_S", 0.0),
-            mock.patch.object(replication, "encode", _encode),
-            mock.patch.object(replication, "decode", _decode),
-            mock.patch.object(small_model, "encode", _encode),
-            mock.patch.object(small_checks, "decode", _decode),
+            mock.patch.object(acceptor, "PRIMARY_HEARD_S", 0.0),
         ):
+            for module in (acceptor, primary, replica_state, small_model):
+                stack.enter_context(mock.patch.object(module, "encode", _encode))
+            for module in (replica_state, small_checks):
+                stack.enter_context(mock.patch.object(module, "decode", _decode))
             yield
     finally:
         if enabled:
--- a/otterreach/simulation/small_checks.py
+++ b/otterreach/simulation/small_checks.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from otterreach.controller.messages import Accepted, Append, Install, Promise
-from otterreach.controller.replication import ITEMS, PROMISE, RECORD, STATE, Control
+from otterreach.controller.messages import Accepted, AppendItems, InstallSnapshot, Promise
+from otterreach.controller.replica_state import CONFIGURATION, ITEMS, PROMISE, SNAPSHOT
+from otterreach.controller.replication import Control
 from otterreach.runtime.codec import decode
 from otterreach.runtime.journal import Record as Entry
 from otterreach.runtime.rpc import Done
@@ -51,10 +52,10 @@
             self.expect(synced_promise(member.disk) >= ask.number, "answered before it was synced", f"{ident} {ask}")
             said[ident] = max(said.get(ident, 0), ask.number)
         elif isinstance(reply, Accepted) and reply.ok:
-            number = ask.record[0].number
+            number = ask.configuration[0].number
             self.expect(synced_promise(member.disk) >= number, "answered before it was synced", f"{ident} {number}")
             self._not_lower(ident, number)
-        elif isinstance(ask, Append | Install) and isinstance(reply, Done):
+        elif isinstance(ask, AppendItems | InstallSnapshot) and isinstance(reply, Done):
             self.expect(
                 synced_items(member.disk, ask), "answered before it was synced", f"{ident} {type(ask).__name__}"
             )
@@ -98,19 +99,19 @@
     for kind, payload in disk:
         if kind == PROMISE:
             highest = max(highest, int(payload))
-        elif kind == RECORD:
-            highest = max(highest, decode(22, payload).record[0].number)
-        elif kind == STATE:
+        elif kind == CONFIGURATION:
+            highest = max(highest, decode(22, payload).configuration[0].number)
+        elif kind == SNAPSHOT:
             highest = max(highest, decode(24, payload).number)
     return highest
 
 
-def synced_items(disk: list[Entry], ask: Append | Install) -> bool:
+def synced_items(disk: list[Entry], ask: AppendItems | InstallSnapshot) -> bool:
     """Whether the disk has the items of a message."""
     store = ReplicatedStore()
     for kind, payload in disk:
-        if kind == STATE:
+        if kind == SNAPSHOT:
             store = ReplicatedStore()
-        if kind in (STATE, ITEMS):
-            store.apply(decode(24 if kind == STATE else 25, payload).items)
+        if kind in (SNAPSHOT, ITEMS):
+            store.apply(decode(24 if kind == SNAPSHOT else 25, payload).items)
     return all(i.key in store.items and store.items[i.key].rev >= i.rev for i in ask.items)
--- a/otterreach/simulation/small_model.py
+++ b/otterreach/simulation/small_model.py
@@ -10,8 +10,10 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from otterreach.controller.messages import Accept, Append, ControllerInfo, Record
-from otterreach.controller.replication import ITEMS, RECORD, Control, Mode
+from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
+from otterreach.controller.messages import Accept, AppendItems
+from otterreach.controller.replica_state import CONFIGURATION, IDENTITY, ITEMS, Mode
+from otterreach.controller.replication import Control
 from otterreach.runtime.codec import encode
 from otterreach.runtime.codes import Code, Failure
 from otterreach.simulation.small_checks import Checks
@@ -37,15 +39,14 @@
     def _start(self) -> None:
         """All have record 1 and its first item on disk; its primary is in office."""
         infos = [ControllerInfo(f"id{m.number}", m.name, m.settings.address, m.settings.zone) for m in self.members]
-        record = Record(1, "id0", [f"id{n + 1}" for n in range(self.bounds.survive)], infos)
+        record = EpochConfiguration(1, "id0", [f"id{n + 1}" for n in range(self.bounds.survive)], infos)
         for member in self.members:
-            member.disk = [(1, f"id{member.number} 0".encode()), (RECORD, encode(Accept([record])))]
+            member.disk = [(IDENTITY, f"id{member.number} 0".encode()), (CONFIGURATION, encode(Accept([record])))]
             if f"id{member.number}" in record.members:
-                member.disk.append((ITEMS, encode(Append(1, [FIRST_ITEM]))))
+                member.disk.append((ITEMS, encode(AppendItems(1, [FIRST_ITEM]))))
             member.begin()
         first = self.members[0]
-        first.control._installed = [FIRST_ITEM]
-        first.run(first.control._take_office)
+        first.run(first.control.become_primary, [FIRST_ITEM])
         self.checks.states(self.members)
 
     @property
@@ -143,10 +144,14 @@
             events.append(("write", member.name))
         if control.is_primary and self._may("read", bounds.reads):
             events.append(("read", member.name))
-        stands = control.mode in (Mode.FOLLOWING, Mode.PRIMARY) and control._may_stand() and not control._electing
+        stands = (
+            control.mode in (Mode.FOLLOWING, Mode.PRIMARY)
+            and control.election.may_stand()
+            and not control.election.in_progress
+        )
         if stands and self._may("elect", bounds.elections):
             events.append(("elect", member.name))
-        if control.is_primary and not control._electing and self._may("reform", bounds.reforms):
+        if control.is_primary and not control.election.in_progress and self._may("reform", bounds.reforms):
             events += [("reform", member.name, m.name) for m in self.members if m.control.accepted is None]
         if member.name in self.cut:
             events.append(("heal", member.name))
@@ -217,15 +222,15 @@
             )
 
     def _do_elect(self, member: Member) -> None:
-        member.run(lambda: spawn(member.control._elect(set(), [])))
+        member.run(lambda: spawn(member.control.election.run(set(), [])))
 
     def _do_reform(self, member: Member, joiner: str) -> None:
         """What the primary does with a member that asks in: the former disk at its address makes room."""
-        new = next(m for m in self.members if m.name == joiner).control.controller
+        new = next(m for m in self.members if m.name == joiner).control.replica.info
         record = member.control.accepted
         assert record is not None
         drop = {w.id for w in record.witnesses if w.address == new.address}
-        member.run(lambda: spawn(member.control._elect(drop, [new])))
+        member.run(lambda: spawn(member.control.election.run(drop, [new])))
 
     def _do_cut(self, member: Member, way: str) -> None:
         self.cut[member.name] = way
