Proxy's item runner split by concern, with the field's names

Change: item_run (state of one item and attempt), item_placement (route, version, slots), item_queue (admission), text_generation, reward_calls, send_permission, item_reports; runner puts them together. Placement, GivenUp and Reward are types in place of tuples and strings; `holds` of the directory became `owners`. Behaviour is the same; of the tests only imports changed.

--- a/otterreach/proxy/directory.py
+++ b/otterreach/proxy/directory.py
@@ -1,4 +1,4 @@
-"""The store_nodes as a proxy sees them: who serves which partition, and how new that knowledge is.
+"""The job store nodes as a proxy sees them: which of them owns which partition, and how new that knowledge is.
 
 Each is pinged at short intervals. What its Pong tells of a partition is true as of the time it names; right before an
 item goes to a server that time must not be long ago, so that nothing of an ended batch job goes out late.
@@ -20,7 +20,10 @@
 PING_S = 0.25
 PING_TIMEOUT_S = 0.6
 LEASE_SHARE = 0.4  # of cancelMs: the rest is for what is on its way, and for clocks that run apart
-CALL_GAP_S = 0.04  # between two tries of a call
+RETRY_S = 0.04  # between two tries of a call
+LEAST_TIMEOUT_S = 0.05
+# A call that got one of these was not done, and another node may do it, or the same one a little later.
+TRY_AGAIN = (Code.NOT_PRIMARY, Code.NOT_SYNCED, Code.UNREACHABLE, Code.STALE_EPOCH, Code.NO_HANDLER, Code.NOT_MEMBER)
 
 
 class Caller(Protocol):
@@ -36,8 +39,8 @@
 
 
 @dataclass(slots=True)
-class Hold:
-    """A partition and who says that it serves it."""
+class PartitionOwner:
+    """Who says that it serves a partition, and as of when."""
 
     epoch: int
     address: str
@@ -59,60 +62,62 @@
         self.fleet, self.endpoint, self.settings = fleet, endpoint, settings
         self.store, self.loop = fleet.store, fleet.loop
         self.lease_s = settings.bounds.cancel_s * LEASE_SHARE
-        self.holds: dict[int, Hold] = {}
+        self.owners: dict[int, PartitionOwner] = {}
         self._load, self._ended, self._moved = load, ended, moved
-        self._life = fleet.draw.random.getrandbits(48) + 1
-        self._waiting: set[str] = set()  # store_nodes whose Pong is still out
+        self._incarnation = fleet.draw.random.getrandbits(48) + 1
+        self._pinged: set[str] = set()  # addresses whose Pong is still out
 
     async def run(self) -> None:
         """For ever: ping all."""
         while True:
-            for address in self.store_nodes():
-                if address not in self._waiting:
-                    self._waiting.add(address)
+            for address in self.store_addresses():
+                if address not in self._pinged:
+                    self._pinged.add(address)
                     self.endpoint.spawn(self._ping(address))
             await asyncio.sleep(PING_S)
 
-    def store_nodes(self) -> list[str]:
-        return [m["address"] for m in self.store.named("member").values() if m.get("role") == "store"]
+    def store_addresses(self) -> list[str]:
+        """The addresses of all job store nodes."""
+        members = self.store.named("member").values()
+        return [member["address"] for member in members if member.get("role") == "store"]
 
     async def _ping(self, address: str) -> None:
         try:
             sent = self.loop.time()
             slots, free, jobs = self._load()
-            settings = self.settings
-            ping = ProxyPing(settings.node, settings.address, int(sent * 1000), slots, free, jobs, self._life)
+            node, own_address = self.settings.node, self.settings.address
+            ping = ProxyPing(node, own_address, int(sent * 1000), slots, free, jobs, self._incarnation)
             reply = await self.endpoint.call(address, ping, PING_TIMEOUT_S)
             if isinstance(reply, Pong):
-                self.take(address, sent, reply)
+                self._apply(address, sent, reply)
         finally:
-            self._waiting.discard(address)
+            self._pinged.discard(address)
 
-    def take(self, address: str, sent: float, pong: Pong) -> None:
+    def _apply(self, address: str, sent: float, pong: Pong) -> None:
         """What a Pong tells; `sent` is when its ping left."""
         for job in pong.ended:
             self._ended(job)
         for held in pong.held:
             as_of = sent - held.age_ms / 1000
-            old = self.holds.get(held.part)
-            if old and (old.epoch > held.epoch or old.epoch == held.epoch and old.as_of >= as_of):
+            known = self.owners.get(held.part)
+            if known and (known.epoch > held.epoch or known.epoch == held.epoch and known.as_of >= as_of):
                 continue
-            self.holds[held.part] = Hold(held.epoch, address, as_of)
-            if old is None or (old.epoch, old.address) != (held.epoch, address):
+            self.owners[held.part] = PartitionOwner(held.epoch, address, as_of)
+            if known is None or (known.epoch, known.address) != (held.epoch, address):
                 self._moved(held.part, address)
 
     def in_force(self, job: str) -> bool:
         """Whether it was known a short while ago that the batch job may go on."""
-        hold = self.holds.get(part_of(job))
-        return hold is not None and self.loop.time() - hold.as_of < self.lease_s
+        owner = self.owners.get(part_of(job))
+        return owner is not None and self.loop.time() - owner.as_of < self.lease_s
 
     def address_of(self, job: str) -> str | None:
-        """The store_node that serves a batch job: by the control state, else by what store_nodes say."""
+        """The job store node that serves a batch job: by the control state, else by what the nodes say."""
         part = part_of(job)
         placement = read_placement(self.store.get(f"part/{part}"))
-        hold = self.holds.get(part)
-        if hold and (placement is None or hold.epoch > placement.epoch):
-            return hold.address
+        owner = self.owners.get(part)
+        if owner and (placement is None or owner.epoch > placement.epoch):
+            return owner.address
         if placement is None:
             return None
         member = self.store.get(f"member/{placement.primary.partition('#')[0]}")
@@ -123,20 +128,17 @@
         `maybe_done` if any of the calls may have been."""
         end = self.loop.time() + within_s
         unclear: Failure | None = None
-        last = Failure(Code.UNREACHABLE, "no store_node serves the partition")
+        last = Failure(Code.UNREACHABLE, "no job store node serves the partition")
         while True:
             address, left = self.address_of(job), end - self.loop.time()
             if address:
-                reply = await self.endpoint.call(address, value, min(each_s, max(0.05, left)))
+                reply = await self.endpoint.call(address, value, min(each_s, max(LEAST_TIMEOUT_S, left)))
                 if not isinstance(reply, Failure):
                     return reply
-                if reply.code not in AGAIN and not reply.maybe_done:
+                if reply.code not in TRY_AGAIN and not reply.maybe_done:
                     return reply if unclear is None else unclear
                 last = reply
                 unclear = reply if reply.maybe_done else unclear
-            if end - self.loop.time() < CALL_GAP_S * 2:
+            if end - self.loop.time() < RETRY_S * 2:
                 return last if unclear is None else unclear  # a Failure is false
-            await asyncio.sleep(CALL_GAP_S)
-
-
-AGAIN = (Code.NOT_PRIMARY, Code.NOT_SYNCED, Code.UNREACHABLE, Code.STALE_EPOCH, Code.NO_HANDLER, Code.NOT_MEMBER)
+            await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/otterreach/proxy/item_queue.py
@@ -0,0 +1,122 @@
+"""The items of this proxy by phase, and the queue of those that wait for a server: which goes next, how many run."""
+
+from __future__ import annotations
+
+import asyncio
+from bisect import insort
+from collections.abc import Callable
+from math import ceil
+
+from otterreach.jobstore.placement import FEWEST_RUNNERS, RUNNER_ROOM
+from otterreach.proxy.fleet import Fleet
+from otterreach.proxy.item_placement import ItemPlacer
+from otterreach.proxy.item_run import GivenUp, ItemRun, Phase, Placement
+
+ITEMS_PER_CORE = 40  # measured: an item's events take some 0.5 % of a core
+FEWEST_SLOTS = 2
+RETRY_PAUSE_S, MOST_RETRY_PAUSE_S = 0.02, 0.16  # between tries of an item
+MOST_DOUBLINGS = 6
+RECHECK_S = 0.05  # between two looks at the queue while nothing may go out
+WAITING = (Phase.QUEUED, Phase.RUNNING, Phase.PAUSED)
+
+
+class ItemQueue:
+    """All items of this proxy. `start` makes the task of one that goes out for the first time."""
+
+    def __init__(
+        self, fleet: Fleet, placer: ItemPlacer, cores: float, start: Callable[[ItemRun], asyncio.Task[None]]
+    ) -> None:
+        self.fleet, self.loop, self.placer = fleet, fleet.loop, placer
+        self.slots = max(FEWEST_SLOTS, int(cores * ITEMS_PER_CORE))  # what its processor bears
+        self.runs: dict[tuple[str, str], ItemRun] = {}
+        self.leaving = False  # nothing new is begun
+        self._start_task = start
+        self._queue: list[tuple[float, int, ItemRun]] = []  # by when they are due
+        self._scheduled = False
+        self._recheck: asyncio.TimerHandle | None = None
+        self._at_servers = 0
+        fleet.changed += [self._share_servers, self.schedule]
+
+    def load(self) -> tuple[int, int, list[str]]:
+        """Slots, free ones, and the batch jobs of which something is here."""
+        slots = 0 if self.leaving else self.slots
+        waiting = sum(1 for run in self.runs.values() if run.phase in WAITING)
+        return slots, max(0, slots - waiting), sorted({run.job for run in self.runs.values()})
+
+    def add(self, run: ItemRun) -> None:
+        """A new item."""
+        self.runs[run.key] = run
+        self.change_phase(run, Phase.QUEUED)
+
+    def change_phase(self, run: ItemRun, phase: Phase) -> None:
+        """The one place that changes a run's phase, and keeps the books."""
+        if run.phase is phase or run.phase is Phase.OVER:
+            return
+        self._at_servers += (phase is Phase.RUNNING) - (run.phase is Phase.RUNNING)
+        run.phase = phase
+        if phase is Phase.OVER:
+            self.runs.pop(run.key, None)
+        elif phase is Phase.QUEUED:
+            insort(self._queue, (run.due, run.order, run))
+        self.schedule()
+
+    def drop(self, run: ItemRun) -> None:
+        """Break it off."""
+        task = run.task
+        self.change_phase(run, Phase.OVER)
+        if task:
+            task.cancel()
+
+    async def wait_for_turn(self, run: ItemRun) -> None:
+        """Pause a little, then wait for a server."""
+        run.next_turn = self.loop.create_future()
+        run.retries += 1
+        longest = min(MOST_RETRY_PAUSE_S, RETRY_PAUSE_S * 2 ** min(run.retries, MOST_DOUBLINGS))
+        pause = longest * (0.5 + self.fleet.draw.random.random() / 2)
+        self.change_phase(run, Phase.PAUSED)
+        self.loop.call_later(pause, self.change_phase, run, Phase.QUEUED)
+        await run.next_turn
+
+    def schedule(self) -> None:
+        """Look at the queue in the next turn of the loop."""
+        if not self._scheduled:
+            self._scheduled = True
+            self.loop.call_soon(self._start_next)
+
+    def _start_next(self) -> None:
+        """Start one: what is due first of what can go anywhere. One at a time, for each changes the next one's odds."""
+        self._scheduled = False
+        self._queue = [entry for entry in self._queue if entry[2].phase is Phase.QUEUED]
+        if not self._queue or self._at_servers >= self.slots:
+            return
+        stuck: set[tuple[str, int | None]] = set()  # of a batch job nothing more is tried once one finds no server
+        for _, _, run in self._queue:
+            need = (run.job, run.text_version)
+            if need in stuck or self.leaving and run.task is None:
+                continue
+            placement = self.placer.place(run)
+            if placement is not None:
+                self._start(run, placement)
+                return
+            stuck.add(need)
+        if self._recheck is None:
+            self._recheck = self.loop.call_later(RECHECK_S, self._on_recheck)
+
+    def _on_recheck(self) -> None:
+        self._recheck = None
+        self.schedule()
+
+    def _start(self, run: ItemRun, placement: Placement | GivenUp) -> None:
+        """Danger: the task's first step counts it at its server, so it must come before the next look at the queue."""
+        run.placement = placement
+        if run.task is None:
+            run.task = self._start_task(run)
+        elif run.next_turn and not run.next_turn.done():
+            run.next_turn.set_result(None)
+        self.change_phase(run, Phase.RUNNING)
+
+    def _share_servers(self) -> None:
+        """Few proxies run items, as many as job store nodes choose: each has that much more of the servers."""
+        wanted = self.fleet.cap_of(self.fleet.config.item_services) * RUNNER_ROOM
+        most = max(FEWEST_RUNNERS, ceil(wanted / self.slots))
+        self.fleet.share_among(max(1, min(self.fleet.proxies, most)))
--- /dev/null
+++ b/otterreach/proxy/item_reports.py
@@ -0,0 +1,62 @@
+"""What the job store is told of items: results, which are repeated until taken; what runs here; what is given back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from typing import Any
+
+from otterreach.jobstore.messages import Finished, GiveBack, Running
+from otterreach.jobstore.placement import part_of
+from otterreach.proxy.directory import Caller, JobStoreDirectory
+from otterreach.proxy.item_run import ItemRun
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.log import log
+
+REPORT_S, REPORT_CALL_S = 2.0, 0.8
+RESEND_S = 0.05
+FINAL = (Code.JOB_ENDED, Code.UNKNOWN_ITEM, Code.UNKNOWN_JOB, Code.BAD_MESSAGE)
+DONE, ERRORED = "done", "errored"
+
+
+class ItemReports:
+    """This proxy's reports."""
+
+    def __init__(self, node: str, endpoint: Caller, directory: JobStoreDirectory) -> None:
+        self.node, self.endpoint, self.directory = node, endpoint, directory
+
+    async def report_result(self, run: ItemRun, reason: str, score: str) -> None:
+        """Tell the job store until it has taken it. `reason`: why the item has failed, or nothing."""
+        finished = self._finished(run, reason, score)
+        while True:
+            reply = await self.directory.ask(run.job, finished, REPORT_S, REPORT_CALL_S)
+            if not isinstance(reply, Failure) or reply.code in FINAL:
+                break
+            await asyncio.sleep(RESEND_S)
+        if reason:
+            log("item_errored", job=run.job, item=run.item, reason=reason)
+
+    def _finished(self, run: ItemRun, reason: str, score: str) -> Finished:
+        if reason:
+            return Finished(run.job, run.item, ERRORED, reason, "", [], score)
+        text = run.transcript.text.decode("utf-8", "replace")
+        return Finished(run.job, run.item, DONE, "", text, sorted(run.transcript.versions), score)
+
+    def report_running(self, part: int, address: str, runs: Iterable[ItemRun]) -> None:
+        """A partition is served by another job store node, or in another epoch: tell it what is here."""
+        items = [f"{run.job} {run.item}" for run in runs if part_of(run.job) == part]
+        self._send(address, Running(part, self.node, items))
+
+    def give_back(self, job: str, items: list[str]) -> None:
+        """Another proxy may run them."""
+        address = self.directory.address_of(job)
+        if address and items:
+            self._send(address, GiveBack(job, items))
+
+    def _send(self, address: str, message: Any) -> None:
+        self.endpoint.spawn(self._send_over_link(address, message))
+
+    async def _send_over_link(self, address: str, message: Any) -> None:
+        link = await self.endpoint.link(address)
+        if not isinstance(link, Failure):
+            link.send(message)
--- /dev/null
+++ b/otterreach/proxy/item_run.py
@@ -0,0 +1,161 @@
+"""One item of a batch job while this proxy has it: what was assigned, how far it is, what has been generated."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Any
+
+from otterreach.jobstore.messages import Assign, Work
+from otterreach.proxy.config import Route
+from otterreach.proxy.events import EventReader, Transcript, versions_of
+from otterreach.proxy.exchange import HOP, OWN, Exchange, Headers, Outbound
+from otterreach.proxy.fleet import Server
+
+MAX_WAIT_MARGIN_S = 0.5  # more than maxWaitS: clocks and messages take their time
+WRITTEN_ANEW = HOP | OWN | {b"host", b"request-id", b"last-event-id", b"expect-version"}
+
+
+class Phase(Enum):
+    """Where an item stands."""
+
+    NEW = auto()
+    QUEUED = auto()  # for a server
+    RUNNING = auto()
+    PAUSED = auto()  # between a failed attempt and the queue
+    REWARDING = auto()
+    REPORTING = auto()
+    OVER = auto()
+
+
+class Reason:
+    """Why an item is given up for good, as the job store is told."""
+
+    WAITED = "waited"
+    ROUTE_GONE = "route_gone"
+    UNPROCESSABLE = "unprocessable"
+    FAILED = "failed"
+    REWARD_FAILED = "reward_failed"
+
+
+class StopReason:
+    """Why an attempt was broken off by this proxy."""
+
+    VERSION = "version"
+    GAP = "gap"
+    SILENT = "silent"
+
+
+@dataclass(frozen=True, slots=True)
+class Placement:
+    """Where an attempt goes."""
+
+    route: Route
+    server: Server
+
+
+@dataclass(frozen=True, slots=True)
+class GivenUp:
+    """The item goes nowhere any more."""
+
+    reason: str
+
+
+class ItemRun:
+    """One item, from its Assign until its result is reported or it is given back."""
+
+    def __init__(self, assign: Assign, work: Work, now: float, order: int) -> None:
+        self.order = order
+        self.job, self.item, self.host = assign.job, work.item, assign.host
+        self.model, self.min_version = assign.model, assign.min_version
+        self.due = now + assign.left_ms / 1000
+        self.give_up_at = now + assign.wait_ms / 1000 + MAX_WAIT_MARGIN_S
+        self.work = work
+        self.path = work.path.partition("?")[0]
+        self.phase = Phase.NEW
+        self.task: asyncio.Task[None] | None = None
+        self.placement: Placement | GivenUp | None = None
+        self.next_turn: asyncio.Future[None] | None = None  # of one that waits for its next server
+        self.failures = self.reward_failures = 0  # answers of 500
+        self.retries = 0  # since something was last generated
+        self.avoided: set[str] = set()  # servers that failed last
+        self.route_missing_since: float | None = None
+        self.transcript = Transcript()
+        self.exchange: Exchange | None = None
+        self.server: Server | None = None
+        self.events = 0  # of the present attempt
+        self.outbound = self._outbound()
+
+    def _outbound(self) -> Outbound:
+        given: dict[str, Any] = json.loads(self.work.headers or "{}")
+        headers = {name.lower().encode("latin-1"): str(value).encode("latin-1") for name, value in given.items()}
+        headers = {name: value for name, value in headers.items() if name not in WRITTEN_ANEW}
+        ident = self.item.encode()
+        headers |= {b"host": self.host.encode(), b"request-id": ident}
+        return Outbound(b"POST", self.work.path.encode("latin-1"), headers, self.work.body, ident)
+
+    @property
+    def key(self) -> tuple[str, str]:
+        """What tells it from all others."""
+        return self.job, self.item
+
+    @property
+    def text_version(self) -> int | None:
+        """The version of the weights that generated the latest of its text."""
+        return self.transcript.versions[-1] if self.transcript.versions else None
+
+    def restart(self) -> None:
+        """What has been generated is of no use: begin anew."""
+        self.transcript = Transcript()
+
+
+class ItemAttempt:
+    """One exchange of an item: its events go to the run's transcript."""
+
+    def __init__(self, run: ItemRun, server: Server, single_version: bool) -> None:
+        self.run, self.server, self.single_version = run, server, single_version
+        self.valid = False  # the head was one of a text, and all events since have joined on
+        self.reader = EventReader()
+
+    def on_head(self, status: int, headers: Headers) -> None:
+        """The answer's status and headers."""
+        run = self.run
+        version = versions_of(headers.get(b"weight-versions"))
+        if version is not None:
+            self.server.learn(run.model, version)
+        self.valid = 200 <= status < 300 and b"reply-seal" in headers and b"content-encoding" not in headers
+        if not self.valid:
+            return
+        if not self._accepts(version):
+            self._stop(StopReason.VERSION)
+        else:
+            run.transcript.version = version
+
+    def on_body(self, data: bytes) -> None:
+        """Some bytes of the answer's body."""
+        for event in self.reader.feed(data):
+            if not self.valid:
+                return
+            if event.version is not None:
+                self.server.learn(self.run.model, event.version)
+                if not self._accepts(event.version):
+                    self._stop(StopReason.VERSION)
+                    return
+            if not self.run.transcript.take(event):
+                self._stop(StopReason.GAP)
+                return
+            self.run.events += 1
+
+    def _accepts(self, version: int | None) -> bool:
+        """Whether a text of this version may join what there is."""
+        if version is None:
+            return self.run.min_version <= 1
+        versions = self.run.transcript.versions
+        return version >= self.run.min_version and not (self.single_version and versions and versions != [version])
+
+    def _stop(self, reason: str) -> None:
+        self.valid = False
+        if self.run.exchange:
+            self.run.exchange.give_up(reason)
--- /dev/null
+++ b/otterreach/proxy/text_generation.py
@@ -0,0 +1,125 @@
+"""An item's text: attempts at servers, each going on where the one before broke off, until the text is whole."""
+
+from __future__ import annotations
+
+import asyncio
+from http import HTTPStatus
+
+from otterreach.proxy.config import Route
+from otterreach.proxy.exchange import Exchange, Fate, Headers, Outcome
+from otterreach.proxy.fleet import Fleet, Server
+from otterreach.proxy.item_placement import ItemPlacer
+from otterreach.proxy.item_queue import ItemQueue
+from otterreach.proxy.item_run import GivenUp, ItemAttempt, ItemRun, Placement, Reason, StopReason
+from otterreach.proxy.send_permission import SendPermission
+
+SILENT_S = 1.2  # between events, of a server that says nothing on any connection
+SILENT_FIRST_S = 2.5  # before the first event: it may wait in the server's queue
+SERVER_SILENT_S = 0.8
+SILENCE_CHECK_S = 0.25
+
+
+class TextGeneration:
+    """Runs items at servers."""
+
+    def __init__(self, fleet: Fleet, placer: ItemPlacer, queue: ItemQueue, permission: SendPermission) -> None:
+        self.fleet, self.loop = fleet, fleet.loop
+        self.placer, self.queue, self.permission = placer, queue, permission
+        self._checked_at = self.loop.time()
+
+    async def generate(self, run: ItemRun) -> str:
+        """The whole text. Returns nothing, or why the item has failed for good."""
+        while isinstance(run.placement, Placement):
+            route, server = run.placement.route, run.placement.server
+            outcome, attempt = await self._attempt(run, route, server)
+            verdict = self._judge(run, route, server, outcome, attempt)
+            if verdict is not None:
+                return verdict
+            await self.queue.wait_for_turn(run)
+        assert isinstance(run.placement, GivenUp)
+        return run.placement.reason
+
+    async def _attempt(self, run: ItemRun, route: Route, server: Server) -> tuple[Outcome, ItemAttempt]:
+        attempt = ItemAttempt(run, server, route.single)
+        extra = self._resume_headers(run, route)
+        fits = self.placer.filter_for(run, route.single)
+
+        def wanted() -> bool:
+            server.estimate.in_flight -= 1  # it is counted already
+            fit = fits(server)
+            server.estimate.in_flight += 1
+            return fit and self.permission.may_send(run) and self.fleet.may_write(server, run.host, run.path)
+
+        run.events = 0
+        exchange = run.exchange = self.fleet.exchange(
+            server, run.outbound, run.give_up_at, wanted, extra, attempt.on_head, attempt.on_body
+        )
+        run.server = server
+        try:
+            return await self.fleet.attempt(server, exchange), attempt
+        finally:
+            run.exchange = run.server = None
+
+    def _resume_headers(self, run: ItemRun, route: Route) -> Headers:
+        """What asks the server to go on after the last event."""
+        headers: Headers = {}
+        if run.transcript.last is not None:
+            headers[b"last-event-id"] = b"%d" % run.transcript.last
+            if route.single and run.text_version is not None:
+                headers[b"expect-version"] = b"%d" % run.text_version
+        elif len(run.transcript):
+            run.restart()  # without ids nothing can be resumed
+        return headers
+
+    def _judge(self, run: ItemRun, route: Route, server: Server, outcome: Outcome, attempt: ItemAttempt) -> str | None:
+        """What an attempt means: None to go on, nothing if the text is whole, or why the item has failed."""
+        if run.transcript.broken:
+            run.restart()
+        if outcome.success and attempt.valid and not attempt.reader.partial and len(run.transcript):
+            seconds = outcome.took_s / (run.events + 2)
+            self.fleet.draw.answered(server.estimate, route.name, seconds, self.loop.time())
+            return ""
+        if run.events:
+            run.retries = 0
+        run.avoided = {server.id}
+        if outcome.reason == StopReason.VERSION:
+            if route.single and run.transcript.versions:
+                run.restart()
+            return None
+        if outcome.fate is Fate.ANSWERED and (reason := self._judge_answer(run, route, outcome.status)):
+            return reason
+        if outcome.reason == "wrong_server" and server.open and route.single and run.text_version is not None:
+            server.learn(run.model, run.text_version + 1)  # it has moved on: versions only rise
+        self.fleet.blame(server, route.name, outcome, SILENT_S)
+        return None
+
+    def _judge_answer(self, run: ItemRun, route: Route, status: int) -> str:
+        """A whole answer that is no text: why the item has failed, or nothing to go on."""
+        if status == HTTPStatus.UNPROCESSABLE_ENTITY:
+            return Reason.UNPROCESSABLE
+        if status == HTTPStatus.INTERNAL_SERVER_ERROR:
+            run.failures += 1
+            if run.failures >= route.tries:
+                return Reason.FAILED
+        elif 400 <= status < 500:
+            run.restart()
+        return ""
+
+    async def watch(self) -> None:
+        """Break off what is silent. Danger: after a stand-still of this process everything looks silent."""
+        while True:
+            await asyncio.sleep(SILENCE_CHECK_S)
+            now = self.loop.time()
+            late, self._checked_at = now - self._checked_at > 3 * SILENCE_CHECK_S, now
+            if late:
+                continue
+            for run in list(self.queue.runs.values()):
+                if run.exchange and run.server and run.exchange.sent_at:
+                    self._end_if_silent(run, run.exchange, run.server, now)
+
+    def _end_if_silent(self, run: ItemRun, exchange: Exchange, server: Server, now: float) -> None:
+        quiet = now - max(exchange.heard_at, exchange.sent_at)
+        limit = SILENT_S if run.events else SILENT_FIRST_S
+        server_silent = now - server.pool.heard_at > SERVER_SILENT_S
+        if quiet > limit and (server_silent or quiet > 2 * limit):
+            exchange.give_up(StopReason.SILENT, True)
--- a/otterreach/simulation/jobs.py
+++ b/otterreach/simulation/jobs.py
@@ -112,7 +112,7 @@
         return SLOTS, max(0, SLOTS - len(self.queue)), sorted({job for job, _ in self.queue})
 
     async def _assign(self, link: Link, assign: Assign) -> None:
-        hold = self.directory.holds.get(assign.part)
+        hold = self.directory.owners.get(assign.part)
         if assign.job in self.ended or hold and assign.epoch < hold.epoch:
             return
         for work in assign.works:
--- a/tests/test_proxy_runner.py
+++ b/tests/test_proxy_runner.py
@@ -10,7 +10,9 @@
 
 from otterreach.jobstore.messages import CancelJob, Finished, GiveBack, ProxyPing, Running
 from otterreach.jobstore.placement import RUNNER_ROOM
-from otterreach.proxy.runner import ITEMS_PER_CORE, Phase, Runner
+from otterreach.proxy.item_queue import ITEMS_PER_CORE
+from otterreach.proxy.item_run import Phase
+from otterreach.proxy.runner import Runner
 from otterreach.runtime.codes import Code, Failure
 from tests import virtual
 from tests.proxy_support import (
