CONTRIBUTING.md: how to set up, where things are, how a change is made and tested

Cause: a newcomer found the sidecar's design and the operator's page, and nothing on how to work on the project. Change: the page; tests/test_layout.py holds its table of packages and of what each may import against the source.

--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,58 @@
+"""CONTRIBUTING.md against the source: each package is in its table, and imports only what the table allows."""
+
+from __future__ import annotations
+
+import ast
+import re
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent
+SOURCE = ROOT / "otterreach"
+PAGE = (ROOT / "CONTRIBUTING.md").read_text()
+EVERYTHING = "everything"
+
+
+def table() -> dict[str, str]:
+    """Package -> what it may import, as the page has it."""
+    found = {}
+    for line in PAGE.splitlines():
+        cells = [cell.strip() for cell in line.strip("|").split("|")]
+        if len(cells) == 3:
+            for package in re.findall(r"`otterreach/([a-z]+)`", cells[0]):
+                found[package] = cells[2]
+    return found
+
+
+def packages() -> list[str]:
+    return sorted(file.parent.name for file in SOURCE.glob("*/__init__.py"))
+
+
+def imported(package: str) -> Iterator[tuple[str, str]]:
+    """(file, other package of ours) of each import."""
+    for file in (SOURCE / package).glob("*.py"):
+        for node in ast.walk(ast.parse(file.read_text())):
+            names: list[str] = []
+            if isinstance(node, ast.Import):
+                names = [alias.name for alias in node.names]
+            elif isinstance(node, ast.ImportFrom):
+                names = [f"{node.module}.{alias.name}" for alias in node.names]
+            for name in names:
+                parts = name.split(".")
+                if parts[0] == "otterreach" and len(parts) > 1 and parts[1] != package:
+                    yield file.name, parts[1]
+
+
+def test_every_package_is_in_the_table() -> None:
+    assert sorted(table().keys() - {"schemas"}) == packages()
+
+
+@pytest.mark.parametrize("package", packages())
+def test_imports_are_those_of_the_table(package: str) -> None:
+    allowed = table()[package]
+    if allowed == EVERYTHING:
+        return
+    names = set(re.findall(r"`([a-z]+)`", allowed))
+    assert [(file, other) for file, other in imported(package) if other not in names] == []
