A write under way at a step down is never carried into a later term

Cause: a batch that was waiting for its backups when the primary stepped down was put back into the queue if the same controller led again before the wait was over, and was then acknowledged as written. Another primary may have led in between, without these items, and their revs are below what it wrote: they were acknowledged and not in force.

Change: a batch that has seen a step down ends as "may be in force or not".

--- a/otterreach/controller/primary.py
+++ b/otterreach/controller/primary.py
@@ -27,6 +27,12 @@
     return key.partition("/")[0] == change_history.KIND
 
 
+def _settle(writes: list[asyncio.Future[bool]], done: bool) -> None:
+    for future in writes:
+        if not future.done():
+            future.set_result(done)
+
+
 @dataclass(slots=True)
 class WitnessContact:
     """What the primary knows of a witness."""
@@ -47,13 +53,13 @@
         self._waiting: list[asyncio.Future[bool]] = []
         self._last_write: asyncio.Future[bool] | None = None  # of `revise`; all earlier ones end before it
         self._replicating = False
+        self._step_downs = 0
         replica.on_step_down.append(self._abandon_writes)
 
     def _abandon_writes(self) -> None:
+        self._step_downs += 1
         waiting, self._waiting, self._queue = self._waiting, [], []
-        for future in waiting:
-            if not future.done():
-                future.set_result(False)
+        _settle(waiting, False)
 
     def begin_epoch(self, installed: list[Item]) -> None:
         """The accepted configuration is in force, and all its members have `installed`."""
@@ -177,11 +183,13 @@
         configuration = self.replica.accepted
         items, self._queue = self._queue, []
         waiting, self._waiting = self._waiting, []
+        step_downs = self._step_downs
         if await self._append_to_backups(items):
             self._publish(items)
-            for future in waiting:
-                if not future.done():
-                    future.set_result(True)
+            _settle(waiting, True)
+            return
+        if self._step_downs != step_downs:
+            _settle(waiting, False)  # another may have led since, without these items
             return
         # Appended once more in the next epoch, or abandoned at the step down.
         self._queue, self._waiting = items + self._queue, waiting + self._waiting
