A job store node whose disk takes nothing, or that is told to end, gives its places on

Cause: a disk that stalled for 5 s held its partitions up as long, for only silence moved them; a full disk ended the process at once, again and again; on SIGTERM the copies went to others only after the process had gone. With a failed disk the process stays up for 5 s, serving nothing, so that others have its partitions before it ends. What watchers heard before a farewell does not bring a member back.

--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -12,7 +12,7 @@
 from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
 from otterreach.controller.spread import Place, Spread
-from otterreach.jobstore.messages import PartLost, PartSynced
+from otterreach.jobstore.messages import DiskStalled, Leaving, PartLost, PartSynced
 from otterreach.jobstore.placement import PARTITIONS
 from otterreach.proxy.messages import Loaded, Release
 from otterreach.proxy.orders import takeover_s
@@ -29,6 +29,7 @@
 PLAN_S = 0.2
 DEAD_S = 0.9  # a member that no watcher has heard for so long
 TELL_S = 0.25
+ENDING_S = 1.5  # a member that says no more that it is about to end has ended, or stays
 STALL_S = 0.4  # the loop stood still for longer: nobody else is to blame for silence
 SETTLE_S = 1.0  # after coming into office, or a stall, before anyone is held to be dead
 FRONT_GONE_S, MEMBER_GONE_S = 8.0, 60.0  # silence after which a member that keeps nothing is forgotten
@@ -49,6 +50,9 @@
         self.server = JsonServer(self.desk.handle)
         self._settled_at = 0.0
         self._lost: dict[tuple[int, str], float] = {}  # (partition, backup): when its primary last said so
+        self._stalled: dict[str, float] = {}  # by node#disk: when it last said that its disk takes nothing
+        self._ending: dict[str, float] = {}  # by node#disk: when it last said that it is about to end
+        self._left: dict[str, float] = {}  # by node#disk: when it said farewell
         self._stores_since = 0.0
         self._leaving: dict[str, float] = {}  # proxies that let go of their duties, and when
         self._stores: frozenset[str] = frozenset()
@@ -61,6 +65,8 @@
             (Sightings, self._sightings),
             (PartSynced, self._synced),
             (PartLost, self._part_lost),
+            (DiskStalled, self._disk_stalled),
+            (Leaving, self._store_leaving),
             (Loaded, self._loaded),
             (Release, self._release),
         ):
@@ -90,8 +96,26 @@
     async def _farewell(self, link: Link, told: Farewell) -> Done | Failure:
         if not self.control.is_primary:
             return Failure(Code.NOT_PRIMARY, self.control.primary_address)
-        self.heard[member(told.node, told.disk)] = self.loop.time() - 2 * DEAD_S
-        log("farewell", member=member(told.node, told.disk))
+        name, now = member(told.node, told.disk), self.loop.time()
+        self.heard[name], self._left[name] = now - 2 * DEAD_S, now
+        self._ending.pop(name, None)
+        log("farewell", member=name)
+        return Done()
+
+    async def _disk_stalled(self, link: Link, told: DiskStalled) -> None:
+        name = member(told.node, told.disk)
+        if name not in self._stalled:
+            log("disk_stalled", level="WARNING", member=name, waiting_ms=told.waiting_ms)
+        self._stalled[name] = self.loop.time()
+
+    async def _store_leaving(self, link: Link, told: Leaving) -> Done | Failure:
+        if not self.control.is_primary:
+            return Failure(Code.NOT_PRIMARY, self.control.primary_address)
+        name = member(told.node, told.disk)
+        others = [m for m in self.stores().usable if m != name]
+        if len(others) < self.wanted.nodes:
+            return Failure(Code.TOO_FEW_LEFT, f"{len(others)} others")
+        self._ending[name] = self.loop.time()
         return Done()
 
     async def _sightings(self, link: Link, told: Sightings) -> None:
@@ -126,7 +150,13 @@
 
     def _living_stores(self) -> set[str]:
         now = self.loop.time()
-        return {name for name in self._store_members() if now - self.heard.get(name, -1e9) < DEAD_S}
+        self._stalled = {name: at for name, at in self._stalled.items() if now - at < DEAD_S}
+        return {name for name in self._store_members() if self._lives(name, now) and name not in self._stalled}
+
+    def _lives(self, name: str, now: float) -> bool:
+        """Whether it was heard of late, and after it said farewell."""
+        heard = self.heard.get(name, -1e9)
+        return now - heard < DEAD_S and heard >= self._left.get(name, -1e9)
 
     def _store_members(self) -> dict[str, Place]:
         """Place of each job store node that is known, by node#disk."""
@@ -198,6 +228,9 @@
         living, places = self._living_stores(), self._store_members()
         # Another disk at the same name is another machine, and not meant.
         retiring = {member(node, r["disk"]) for node, r in self.control.state.named("retire").items()}
+        now = self.loop.time()
+        self._ending = {name: at for name, at in self._ending.items() if now - at < ENDING_S}
+        retiring |= set(self._ending)
         return Stores({m: places[m] for m in sorted(living)}, frozenset(living & retiring))
 
     def _stores_when_settled(self) -> Stores | None:
--- a/otterreach/jobstore/__main__.py
+++ b/otterreach/jobstore/__main__.py
@@ -9,6 +9,7 @@
 import sys
 from random import Random, SystemRandom
 
+from otterreach.jobstore.leaving import give_on
 from otterreach.jobstore.node import JobStoreNode
 from otterreach.runtime.codes import Code
 from otterreach.runtime.journal import open_journal
@@ -21,6 +22,14 @@
 STOP_S = 0.8  # what is being written has so long to get to disk
 
 
+async def first_of(*events: asyncio.Event) -> None:
+    """Until one of them is set."""
+    waiting = [asyncio.ensure_future(event.wait()) for event in events]
+    await asyncio.wait(waiting, return_when=asyncio.FIRST_COMPLETED)
+    for task in waiting:
+        task.cancel()
+
+
 async def serve(settings: Settings) -> None:
     """Until SIGTERM. Ends with the code of DISK_FAILED if the disk refuses a write."""
     assert settings.datadir is not None
@@ -30,11 +39,14 @@
     node = Node(settings, endpoint, random)
     store_node = JobStoreNode(node, journal, random, records)
     del records
-    on_signals(node.stopping.set, node.reload)
+    leaving = asyncio.Event()
+    on_signals(leaving.set, node.reload)
     await store_node.start()
     await node.start("store")
     endpoint.spawn(node.watch_settings())
-    await node.stopping.wait()
+    await first_of(leaving, node.stopping)
+    if leaving.is_set() and not node.stopping.is_set():
+        await give_on(node)
     try:
         async with asyncio.timeout(STOP_S):
             await node.farewell()
--- a/otterreach/jobstore/backup.py
+++ b/otterreach/jobstore/backup.py
@@ -80,7 +80,7 @@
 
     async def _position_on_disk(self, copy: Copy, epoch: int) -> CopyPosition | Failure:
         position = copy.position
-        if not await self.replication.journal.sync():
+        if not await self.replication.disk.sync():
             return Failure(Code.DISK_FAILED, "disk")
         if copy.epoch != epoch:
             return Failure(Code.STALE_EPOCH, str(copy.epoch))
--- a/otterreach/jobstore/leadership.py
+++ b/otterreach/jobstore/leadership.py
@@ -62,7 +62,7 @@
     async def begin(self) -> None:
         """The epoch on disk first, then the copies."""
         index = self.copy.index
-        if not await self.replication.journal.sync() or self.ended:
+        if not await self.replication.disk.sync() or self.ended:
             return
         self.local = max(self.local, index)
         self.update(self.placement)
@@ -139,7 +139,7 @@
     async def _report_in_sync(self, replica: ReplicaStream) -> None:
         """From here on writes wait for it, so that the controller may make it a member at any time."""
         ask = PartSynced(self.copy.part, self.epoch, replica.member)
-        if not await self.replication.journal.sync():
+        if not await self.replication.disk.sync():
             return
         while self._is_learner(replica):
             reply = await self.replication.ask_controller(ask)
--- a/otterreach/jobstore/messages.py
+++ b/otterreach/jobstore/messages.py
@@ -270,3 +270,23 @@
     epoch: int
     member: str
     silent_ms: int
+
+
+@message(81)
+@dataclass(slots=True)
+class DiskStalled:
+    """Job store node to the primary controller, one way, repeated while it lasts: its disk takes no write."""
+
+    node: str
+    disk: str
+    waiting_ms: int
+
+
+@message(82)
+@dataclass(slots=True)
+class Leaving:
+    """Job store node to the primary controller, repeated while it lasts: it is about to end, others are to get its
+    copies first. Done, or TOO_FEW_LEFT: nobody else could take them."""
+
+    node: str
+    disk: str
--- a/otterreach/jobstore/node.py
+++ b/otterreach/jobstore/node.py
@@ -53,6 +53,7 @@
 WRITE_S = 2.5  # a write that isn't at all copies by then is answered as perhaps done
 SETTLE_S = 0.3  # for that, at a stop
 MAX_WAIT_S = 5.0
+FAILED_STAY_S = 5.0  # with a disk that failed: no writes, no reads, and others get the partitions
 REWRITE_BYTES = 8 * 1024 * 1024
 REWRITE_GROWTH = 4
 DISK_SHARE = 0.4  # of the disk, for the journal: its rewrite needs as much again
@@ -88,6 +89,7 @@
         self.replication = Replication(node, journal, random, self)
         self.dispatch = Dispatch(self, random)
         self.stopping = False
+        self._failed_at: float | None = None
         self._routes: tuple[int, dict[str, Any]] = (-1, {})
         self._slots: tuple[int, int] = (-1, 0)  # by the store's rev
         self._readers: dict[str, list[asyncio.Future[None]]] = {}
@@ -106,17 +108,22 @@
 
     async def start(self) -> None:
         """The id of the disk lasts before anyone hears it; then take part."""
-        if not await self.journal.sync():
+        if not await self.replication.disk.sync():
             return
         self.replication.follow_all()
-        for work in (self.replication.pings.run(), self._ticks(), self._reconcile_loop()):
+        for work in (
+            self.replication.pings.run(),
+            self.replication.disk.run(self.node),
+            self._ticks(),
+            self._reconcile_loop(),
+        ):
             self.replication.spawn(work)
 
     async def stop(self) -> None:
         """Assign nothing more; what has been taken goes to all copies and to disk."""
         self.stopping = self.dispatch.stopped = True
         await self.replication.settle(SETTLE_S)
-        await self.journal.sync()
+        await self.replication.disk.sync()
 
     # Hooks of the replication --------------------------------------------------------------------
 
@@ -390,8 +397,16 @@
         while not self.stopping:
             await asyncio.sleep(TICK_S)
             self.dispatch.tick()
-            if self.journal.failed is not None:
-                self.node.stopping.set()
+            self._end_if_disk_failed()
+
+    def _end_if_disk_failed(self) -> None:
+        """Others get its places first; then the process ends, and starts anew on what the disk has."""
+        if self.journal.failed is None:
+            return
+        now = self.loop.time()
+        self._failed_at = now if self._failed_at is None else self._failed_at
+        if now - self._failed_at > FAILED_STAY_S:
+            self.node.stopping.set()
 
     async def _reconcile_loop(self) -> None:
         while not self.stopping:
--- a/otterreach/jobstore/replication.py
+++ b/otterreach/jobstore/replication.py
@@ -11,6 +11,7 @@
 from typing import Any, Protocol
 
 from otterreach.jobstore.backup import BackupHandlers
+from otterreach.jobstore.disk_watch import DiskWatch
 from otterreach.jobstore.leadership import Hooks, PartitionLeader, finish
 from otterreach.jobstore.member_pings import MemberPings
 from otterreach.jobstore.messages import PartDigests
@@ -48,6 +49,7 @@
         self.survive_nodes = node.settings.survive_nodes
         self.fresh_s = min(FRESH_S, node.settings.bounds.settle_s / 2)
         self.copies = [Copy(part, journal, self.now) for part in range(PARTITIONS)]
+        self.disk = DiskWatch(journal, self.now)
         self.leaders: dict[int, PartitionLeader] = {}
         self._installing: dict[str, asyncio.Semaphore] = {}
         self._dirty: dict[int, Copy] = {}
@@ -208,7 +210,7 @@
             while self._dirty:
                 marks = [(copy, copy.index, copy.lineage) for copy in self._dirty.values()]
                 self._dirty.clear()
-                if not await self.journal.sync():
+                if not await self.disk.sync():
                     return
                 for copy, index, lineage in marks:
                     leader = self.leaders.get(copy.part)
--- a/tests/jobstore_net.py
+++ b/tests/jobstore_net.py
@@ -235,6 +235,8 @@
     def __init__(self) -> None:
         self.data = b""
         self.synced = 0
+        self.stalled = False  # answers nothing until it is False again
+        self.full = False  # takes no more bytes
 
     def lose_power(self, random: Random) -> None:
         """What was not synced is there in part, torn, or not at all."""
@@ -275,14 +277,24 @@
         while self._waiting:
             waiting, self._waiting = self._waiting, []
             disk = self.disk
+            while disk.stalled:
+                await asyncio.sleep(0.01)
+            if disk.full and self._pending:
+                self.failed = Failure(Code.DISK_FAILED, "no space left on device")
+            if self.failed is not None:
+                self._settle(waiting)
+                continue
             disk.data += b"".join(self._pending)
             self._pending.clear()
             end = len(disk.data)
             await asyncio.sleep(self.sync_s)
             disk.synced = end
-            for future in waiting:
-                if not future.done():
-                    future.set_result(True)
+            self._settle(waiting)
+
+    def _settle(self, waiting: list[asyncio.Future[bool]]) -> None:
+        for future in waiting:
+            if not future.done():
+                future.set_result(self.failed is None)
 
     async def rewrite(self, live: Callable[[], Iterable[tuple[int, bytes]]]) -> bool:
         while self._flushing and not self._flushing.done():
--- a/tests/jobstore_world.py
+++ b/tests/jobstore_world.py
@@ -18,9 +18,11 @@
 from otterreach.jobstore.messages import (
     Assign,
     CancelJob,
+    DiskStalled,
     EndJob,
     Finished,
     ItemBody,
+    Leaving,
     PartLost,
     PartSynced,
     Pong,
@@ -51,6 +53,7 @@
 }
 ROUTE = {"name": "r-lot", "host": "h", "prefix": "/p/", "kind": "rollout", "dueMs": 5000, "maxWaitS": 30}
 REGISTRAR = "core:7000"
+STALL_HOLDS_S = 0.9  # a disk that was told to stall counts as usable again so much later
 TWO = Spread.surviving(1, 0, 0)
 
 
@@ -84,6 +87,9 @@
         self.follower = SimpleNamespace(primary=REGISTRAR, controllers=[REGISTRAR], root_at=0.0)
         self.stopping = asyncio.Event()
 
+    async def ask_primary(self, ask: Any, timeout_s: float = 0.8) -> Any:
+        return await self.endpoint.call(REGISTRAR, ask, timeout_s)
+
     @property
     def member(self) -> str:
         return member(self.settings.node, self.disk)
@@ -153,6 +159,10 @@
         self.controller = VirtualEndpoint(self.net, REGISTRAR)
         self.controller.on(PartSynced, self._synced)
         self.controller.on(PartLost, self._lost)
+        self.controller.on(DiskStalled, self._disk_stalled)
+        self.controller.on(Leaving, self._leaving)
+        self.stalled: dict[str, float] = {}  # members whose disks take nothing, and when they last said so
+        self.leaving: set[str] = set()
         self.put("config", {"gen": 1, "routes": [ROUTE], "backends": []})
         self.founding = stores
         for n in range(stores):
@@ -212,7 +222,10 @@
         self.plan()
 
     def known(self) -> planner.Stores:
-        return planner.Stores({m: Place(self.zone(m.partition("#")[0]), "r") for m in sorted(self.alive)})
+        now = asyncio.get_running_loop().time()
+        stalled = {m for m, at in self.stalled.items() if now - at < STALL_HOLDS_S}
+        places = {m: Place(self.zone(m.partition("#")[0]), "r") for m in sorted(self.alive - stalled)}
+        return planner.Stores(places, frozenset(self.leaving & set(places)))
 
     def zone(self, name: str) -> str:
         return self.zones.get(name, name)
@@ -243,6 +256,18 @@
     async def _lost(self, link: Any, told: PartLost) -> None:
         self.lost.append(told)
 
+    async def _disk_stalled(self, link: Any, told: DiskStalled) -> None:
+        self.stalled[member(told.node, told.disk)] = asyncio.get_running_loop().time()
+        self.plan()
+
+    async def _leaving(self, link: Any, told: Leaving) -> Done | Failure:
+        name, known = member(told.node, told.disk), self.known()
+        if len([m for m in known.usable if m != name]) < self.wanted.nodes:
+            return Failure(Code.TOO_FEW_LEFT, "too few others")
+        self.leaving.add(name)
+        self.plan()
+        return Done()
+
     def primary_of(self, job: str) -> Store:
         return self.stores[self.parts()[part_of(job)].primary.partition("#")[0]]
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -7,9 +7,12 @@
 import unittest
 from typing import Any
 
+from otterreach.controller.messages import Sighting, Sightings
 from otterreach.controller.node import FRONT_GONE_S, ControllerNode
+from otterreach.controller.spread import Spread
+from otterreach.jobstore.messages import DiskStalled, Leaving
 from otterreach.proxy.messages import Loaded, Release
-from otterreach.runtime.codes import Failure
+from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.node import WATCHERS, Announce, Farewell, Heartbeat, ring_of
 from otterreach.runtime.rpc import Done
 from otterreach.runtime.settings import read
@@ -50,6 +53,8 @@
         self.control = Control()
         controller.settings, controller.control, controller.loop = SETTINGS, self.control, asyncio.get_running_loop()
         controller.heard, controller.heard_servers, controller._leaving, controller._lost = {}, {}, {}, {}
+        controller._stalled, controller._ending, controller._left = {}, {}, {}
+        controller.wanted = Spread.surviving(1, 0, 0)
 
     async def member(self, node: str, role: str, disk: str = "") -> None:
         link: Any = None
@@ -171,6 +176,49 @@
 
         self.play(scene)
 
+    def test_what_watchers_heard_before_a_farewell_does_not_bring_a_member_back(self) -> None:
+        async def scene(stage: Stage) -> None:
+            link: Any = None
+            await stage.member("store-1", "store", "d1")
+            await asyncio.sleep(0.1)
+            await stage.controller._farewell(link, Farewell("store-1", "d1"))
+            await asyncio.sleep(0.1)
+            await stage.controller._sightings(link, Sightings("core-2", [Sighting("store-1#d1", 150)], []))
+            self.assertEqual(stage.controller.stores().usable, [])
+
+        self.play(scene)
+
+    def test_a_member_whose_disk_stalls_is_as_good_as_lost_while_it_says_so(self) -> None:
+        async def scene(stage: Stage) -> None:
+            link: Any = None
+            await stage.member("store-1", "store", "d1")
+            await stage.controller._disk_stalled(link, DiskStalled("store-1", "d1", 700))
+            self.assertEqual(stage.controller.stores().places, {})
+            for _ in range(5):
+                await asyncio.sleep(0.25)
+                await stage.beat("store-1", "d1")
+            self.assertEqual(stage.controller.stores().usable, ["store-1#d1"])
+
+        self.play(scene)
+
+    def test_one_that_is_about_to_end_is_treated_as_retiring_if_others_can_take_its_copies(self) -> None:
+        async def scene(stage: Stage) -> None:
+            link: Any = None
+            for node in ("store-1", "store-2"):
+                await stage.member(node, "store", "d")
+            reply = await stage.controller._store_leaving(link, Leaving("store-1", "d"))
+            self.assertIs(Code.TOO_FEW_LEFT, getattr(reply, "code", None))
+            await stage.member("store-3", "store", "d")
+            self.assertEqual(await stage.controller._store_leaving(link, Leaving("store-1", "d")), Done())
+            self.assertEqual(stage.controller.stores().usable, ["store-2#d", "store-3#d"])
+            for _ in range(7):
+                await asyncio.sleep(0.25)
+                for node in ("store-1", "store-2", "store-3"):
+                    await stage.beat(node, "d")
+            self.assertEqual(len(stage.controller.stores().usable), 3)
+
+        self.play(scene)
+
     def test_silent_servers_are_marked_and_heard_ones_are_not(self) -> None:
         async def scene(stage: Stage) -> None:
             stage.server("a")
--- /dev/null
+++ b/tests/test_jobstore_disks.py
@@ -0,0 +1,194 @@
+"""Disks of job store nodes that stall or fill up: others take over, as if the machine were lost."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from otterreach.jobstore.disk_watch import STALLED_S, DiskWatch
+from otterreach.jobstore.messages import PartEpochs, PartPing, Pong, ProxyPing, Results
+from otterreach.jobstore.placement import part_of
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.rpc import Done
+from tests.jobstore_world import Client, Store, World
+from tests.virtual import VirtualLoop, run
+
+TAKEOVER_S = 1.1  # as long as a dead one would take
+LONG_S = 5.0
+Scene = Callable[[World, Client], Coroutine[Any, Any, None]]
+
+
+def play(scene: Scene, stores: int = 3) -> None:
+    async def whole() -> None:
+        world = World(stores)
+        client = Client(world)
+        await world.serving("a")
+        assert await client.submit("a") == Done()
+        await scene(world, client)
+        world.check()
+
+    run(whole)
+
+
+async def write(world: World, client: Client, job: str) -> float:
+    """Submit until it is taken, by whoever is primary. Returns how long it took."""
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    while await client.submit(job, timeout_s=0.3) != Done():
+        assert loop.time() - began < 30.0, "never taken"
+        await asyncio.sleep(0.05)
+    return loop.time() - began
+
+
+class StalledDiskTest(unittest.TestCase):
+    def test_a_primary_gives_its_place_within_the_time_of_a_dead_one(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            old = world.primary_of("a")
+            old.journal.disk.stalled = True
+            self.assertLess(await write(world, client, "a33"), TAKEOVER_S)
+            self.assertIsNot(old, world.primary_of("a33"))
+            old.journal.disk.stalled = False
+
+        play_pair("a", "a33", scene)
+
+    def test_a_backup_is_replaced_within_the_time_of_a_dead_one(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            old = world.backup_of("a")
+            old.journal.disk.stalled = True
+            self.assertLess(await write(world, client, "a33"), TAKEOVER_S)
+            self.assertNotIn(old.node.member, world.parts()[old.copy("a").part].members)
+            old.journal.disk.stalled = False
+
+        play_pair("a", "a33", scene)
+
+    def test_pings_are_answered_and_reads_go_on_while_it_stalls(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            old = world.primary_of("a")
+            old.journal.disk.stalled = True
+            stuck = asyncio.ensure_future(client.submit("a33", old, timeout_s=3.0))
+            await asyncio.sleep(STALLED_S / 2)
+            copy = old.copy("a")
+            self.assertIsInstance(await client.read("a", store=old), Results)
+            pong = await client.ask(old, ProxyPing("client", "client:7000", 0, 0, 0))
+            self.assertIsInstance(pong, Pong)
+            self.assertIn(copy.part, [held.part for held in pong.held])
+            epochs = await client.ask(old, PartPing(old.node.member, [copy.part], [copy.epoch]))
+            self.assertIsInstance(epochs, PartEpochs)
+            await stuck
+            old.journal.disk.stalled = False
+
+        play_pair("a", "a33", scene)
+
+    def test_what_was_under_way_is_listed_once_and_the_old_primary_does_no_harm_afterwards(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            old = world.primary_of("a")
+            self.assertEqual(Done(), await client.finish("a", 0))
+            old.journal.disk.stalled = True
+            stuck = asyncio.ensure_future(client.finish("a", 1, store=old))
+            self.assertIsInstance(await stuck, Failure)
+            await world_moves_on(world, old)
+            await client.finish("a", 1)
+            self.assertEqual(Done(), await client.finish("a", 2))
+            before = (await client.read("a")).body
+            await asyncio.sleep(LONG_S)
+            old.journal.disk.stalled = False
+            await asyncio.sleep(2.0)
+            world.plan()
+            await asyncio.sleep(2.0)
+            self.assertEqual(before, (await client.read("a")).body)
+            self.assertIsInstance(await client.read("a", store=old), Failure)
+
+        play(scene)
+
+    def test_a_slow_disk_is_none_that_stalls(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            old = world.primary_of("a")
+            old.journal.sync_s = 0.3
+            writes = []
+            for n in range(8):
+                writes.append(asyncio.ensure_future(client.submit(f"slow{n}", old, timeout_s=3.0)))
+                await asyncio.sleep(0.1)
+            await asyncio.gather(*writes)
+            self.assertEqual({}, world.stalled)
+
+        play(scene)
+
+    def test_a_process_that_stood_still_does_not_blame_its_disk(self) -> None:
+        loop = VirtualLoop()
+        self.addCleanup(loop.close)
+
+        class Waiting:
+            failed: Failure | None = None
+
+            async def sync(self) -> bool:
+                await asyncio.sleep(0.1)
+                return True
+
+        async def scene() -> None:
+            watch = DiskWatch(Waiting(), loop.time)
+            node: Any = None
+            sync = asyncio.ensure_future(watch.sync())
+            await asyncio.sleep(0.05)
+            watch._look(node)
+            loop.stand_still(3.0)
+            watch._look(node)  # would report if it blamed the disk
+            self.assertTrue(watch.usable)
+            self.assertTrue(await sync)
+
+        loop.run_until_complete(scene())
+
+
+class FullDiskTest(unittest.TestCase):
+    def test_a_primary_with_a_full_disk_serves_nothing_and_another_takes_over(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            old = world.primary_of("a")
+            old.journal.disk.full = True
+            reply = await client.submit("a33", old)
+            self.assertIsInstance(reply, Failure)
+            refused = await client.read("a", store=old)
+            self.assertIsInstance(refused, Failure)
+            self.assertIsNot(Code.UNKNOWN_JOB, refused.code)
+            self.assertLess(await write(world, client, "a33"), TAKEOVER_S)
+            self.assertIsInstance(await client.read("a"), Results)
+            await asyncio.sleep(1.0)
+            self.assertFalse(old.store_node.replication.leaders)
+
+        play_pair("a", "a33", scene)
+
+    def test_a_backup_with_a_full_disk_is_replaced(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            world.backup_of("a").journal.disk.full = True
+            self.assertLess(await write(world, client, "a33"), TAKEOVER_S)
+            self.assertEqual(Done(), await client.finish("a", 0))
+
+        play_pair("a", "a33", scene)
+
+    def test_the_process_ends_only_after_others_could_take_over(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            old = world.primary_of("a")
+            old.journal.disk.full = True
+            await client.submit("a33", old)
+            await asyncio.sleep(2.0)
+            self.assertFalse(old.node.stopping.is_set())
+            await asyncio.sleep(LONG_S)
+            self.assertTrue(old.node.stopping.is_set())
+
+        play_pair("a", "a33", scene)
+
+
+async def world_moves_on(world: World, old: Store) -> None:
+    """Until another than the old primary serves the batch job `a`."""
+    while await world.serving("a") is old:
+        await asyncio.sleep(0.05)
+
+
+def play_pair(one: str, other: str, scene: Scene) -> None:
+    """Play with two batch jobs of the same partition."""
+    assert part_of(one) == part_of(other), "not of one partition"
+    play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_jobstore_leaving.py
@@ -0,0 +1,122 @@
+"""A job store node that is told to end gives its copies on first, if there is time and somebody to take them."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
+
+from otterreach.jobstore.leaving import SHARE_OF_GRACE, give_on, is_named
+from otterreach.jobstore.messages import Results
+from otterreach.runtime.codes import Code
+from otterreach.runtime.node import Node
+from otterreach.runtime.rpc import Done
+from tests.jobstore_world import Client, Store, World
+from tests.virtual import run
+
+JOBS = [f"job{n}" for n in range(20)]
+Scene = Callable[[World, Client], Coroutine[Any, Any, None]]
+
+
+def play(scene: Scene, stores: int = 3) -> None:
+    async def whole() -> None:
+        world = World(stores)
+        client = Client(world)
+        await world.serving("a")
+        for job in JOBS:
+            assert await client.submit(job) == Done()
+            assert await client.finish(job, 0) == Done()
+        await scene(world, client)
+        world.check()
+
+    run(whole)
+
+
+async def leave(world: World, store: Store) -> bool:
+    """As on SIGTERM: give the copies on, then end; its disk is never seen again."""
+    done = await give_on(cast(Node, store.node))
+    store.wipe()
+    world.believe(store, lives=False)
+    return done
+
+
+async def readable(world: World, client: Client, job: str) -> bool:
+    """Whether the batch job is there with its result, whoever serves it."""
+    while True:
+        reply = await client.read(job, store=await world.serving(job))
+        if getattr(reply, "code", None) not in (Code.NOT_PRIMARY, Code.NOT_SYNCED):
+            return isinstance(reply, Results) and reply.total == 4 and reply.next_cursor == 1
+
+
+class LeavingTest(unittest.TestCase):
+    def test_its_disk_and_right_afterwards_another_may_go(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            leaving, other = world.primary_of("job1"), world.backup_of("job1")
+            self.assertTrue(await leave(world, leaving))
+            other.wipe()
+            world.believe(other, lives=False)
+            world.add("store-9")
+            for job in JOBS:
+                self.assertTrue(await readable(world, client, job), job)
+
+        play(scene, 4)
+
+    def test_it_serves_until_others_have_its_places(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            leaving = world.primary_of("job1")
+            given = asyncio.ensure_future(give_on(cast(Node, leaving.node)))
+            slowest, loop = 0.0, asyncio.get_running_loop()
+            n = 0
+            while not given.done():
+                n, began = n + 1, loop.time()
+                while await client.submit(f"more{n}") != Done():
+                    await asyncio.sleep(0.01)
+                slowest = max(slowest, loop.time() - began)
+            self.assertTrue(await given)
+            self.assertLess(slowest, 0.2)
+            self.assertFalse(is_named(cast(Node, leaving.node)))
+
+        play(scene)
+
+    def test_with_nobody_to_take_them_it_ends_at_once(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            self.assertFalse(await give_on(cast(Node, world.primary_of("a").node)))
+            self.assertLess(loop.time() - began, 0.5)
+
+        play(scene, 2)
+
+    def test_it_is_never_held_up_beyond_its_time(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            leaving = world.primary_of("a")
+            for store in world.stores.values():
+                if store is not leaving:
+                    store.journal.disk.stalled = True
+            world.net.cut(leaving.address, "core:7000")
+            loop = asyncio.get_running_loop()
+            began = loop.time()
+            self.assertFalse(await give_on(cast(Node, leaving.node)))
+            grace_s = leaving.node.settings.bounds.grace_s
+            self.assertLess(loop.time() - began, SHARE_OF_GRACE * grace_s + 1.1)
+            for store in world.stores.values():
+                store.journal.disk.stalled = False
+
+        play(scene)
+
+    def test_two_in_a_row_with_one_that_comes_between(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            for n in range(2):
+                world.add(f"new-{n}")
+                self.assertTrue(await leave(world, world.stores[f"store-{n}"]))
+                world.leaving.clear()
+                world.plan()
+            for job in JOBS:
+                self.assertTrue(await readable(world, client, job), job)
+
+        play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
