--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -5,13 +5,14 @@
 import asyncio
 import json
 import zlib
+from collections.abc import Iterable
 
 from otterreach.controller import planner
-from otterreach.controller.handlers import Desk
+from otterreach.controller.api.router import ApiRouter
 from otterreach.controller.messages import Sighting, Sightings
 from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
-from otterreach.controller.spread import Place, Spread
+from otterreach.controller.survival import Place, limits_of
 from otterreach.jobstore.messages import DiskStalled, Leaving, PartLost, PartSynced
 from otterreach.jobstore.placement import PARTITIONS
 from otterreach.proxy.messages import Loaded, Release
@@ -46,8 +47,8 @@
         self.heard: dict[str, float] = {}  # by node#disk: when last
         self.heard_servers: dict[str, float] = {}
         self.control = Control(settings, node.endpoint, journal, node.follower, node.random, self._office)
-        self.desk = Desk(settings, self.control, node.store, self._stores_when_settled, self._server_heard)
-        self.server = JsonServer(self.desk.handle)
+        self.api = ApiRouter(settings, self.control, node.follower, self._stores_when_settled, self._server_heard)
+        self.server = JsonServer(self.api.handle)
         self._settled_at = 0.0
         self._lost: dict[tuple[int, str], float] = {}  # (partition, backup): when its primary last said so
         self._stalled: dict[str, float] = {}  # by node#disk: when it last said that its disk takes nothing
@@ -56,8 +57,8 @@
         self._stores_since = 0.0
         self._leaving: dict[str, float] = {}  # proxies that let go of their duties, and when
         self._stores: frozenset[str] = frozenset()
-        self.wanted = Spread.surviving(settings.survive_nodes, settings.survive_zones, settings.survive_regions)
-        self._attainable = self.wanted
+        self.limits = limits_of(settings)
+        self._attainable = self.limits
         for kind, handler in (
             (Announce, self._announce),
             (Heartbeat, self._heartbeat),
@@ -72,7 +73,7 @@
         ):
             node.endpoint.on(kind, handler)
 
-    async def run(self, records: list[Record]) -> None:
+    async def run(self, records: Iterable[Record]) -> None:
         self.control.load(records)
         self.node.disk = self.control.id
         host, port = self.settings.binds["ctl"]
@@ -113,7 +114,7 @@
             return Failure(Code.NOT_PRIMARY, self.control.primary_address)
         name = member(told.node, told.disk)
         others = [m for m in self.stores().usable if m != name]
-        if len(others) < self.wanted.nodes:
+        if len(others) <= self.limits.nodes:
             return Failure(Code.TOO_FEW_LEFT, f"{len(others)} others")
         self._ending[name] = self.loop.time()
         return Done()
@@ -247,21 +248,21 @@
         if known != self._stores:
             self._stores, self._stores_since = known, now
         if not records:
-            patience = SETTLE_S if stores.attainable(self.wanted) == self.wanted else FULL_SPREAD_WAIT_S
+            patience = SETTLE_S if stores.attainable(self.limits) == self.limits else FULL_SPREAD_WAIT_S
             if now - self._stores_since > patience:
-                self._revise_parts(planner.initial_records(PARTITIONS, self.wanted, stores))
+                self._revise_parts(planner.initial_records(PARTITIONS, self.limits, stores))
             return
         self._log_spread(stores)
-        self._revise_parts(planner.plan(records, self.wanted, stores, self._lost_now()))
+        self._revise_parts(planner.plan(records, self.limits, stores, self._lost_now()))
 
     def _log_spread(self, stores: Stores) -> None:
         """Say so when the machines that live begin or end to allow less than is asked for."""
-        attainable = stores.attainable(self.wanted)
+        attainable = stores.attainable(self.limits)
         if attainable != self._attainable:
             self._attainable = attainable
-            short = attainable != self.wanted
+            short = attainable != self.limits
             level = "WARNING" if short else "INFO"
-            log("spread", level=level, short=short, zones=attainable.zones, regions=attainable.regions)
+            log("spread", level=level, short=short, survive_zones=attainable.zones, survive_regions=attainable.regions)
 
     async def _part_lost(self, link: Link, told: PartLost) -> None:
         record = self.parts().get(told.part)
@@ -385,7 +386,7 @@
             return Failure(Code.STALE_EPOCH, "another epoch")
         if told.member in record.learners:
             stores = self.stores().without(self._lost_now().get(told.part, set()) - {record.primary})
-            new = planner.synced(record, told.member, self.wanted, stores)
+            new = planner.synced(record, told.member, self.limits, stores)
             self._revise_parts({told.part: new})
         return Done()
 
--- a/otterreach/controller/planner.py
+++ b/otterreach/controller/planner.py
@@ -1,7 +1,7 @@
 """Which job store nodes keep which partition. Pure: records and what is known of members in, new records out.
 
-The members of a partition are spread so that any allowed loss leaves one of them (otterreach/controller/spread.py), as
-far as the machines that live allow it; the number of copies follows from that. Repairs, moves and retiring keep it.
+The members of a partition are spread so that any allowed loss leaves one of them (survival.py), as far as the machines
+that live allow it; the number of copies follows from that. Repairs, moves and retiring keep it.
 
 A dead primary changes places with a living backup at once. Who is dead stays in the record until a learner has all that
 it had, for it may be the only other copy; writes wait meanwhile.
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from otterreach.controller.spread import NOTHING, Place, Spread, span
+from otterreach.controller.survival import Place, SurviveLimits, choose_replicas, unmet_by_replicas
 
 MOVES = 2  # partitions that may be moved for balance at a time
 UNEVEN = 2  # memberships more than another before one is moved
@@ -58,9 +58,13 @@
     def usable(self) -> list[str]:
         return [m for m in self.places if m not in self.retiring]
 
-    def attainable(self, wanted: Spread) -> Spread:
-        """The most of the wanted spread that the usable ones allow."""
-        return wanted.attainable({m: self.places[m] for m in self.usable})
+    def attainable(self, limits: SurviveLimits) -> SurviveLimits:
+        """The most of the limits that copies on the usable ones can outlast. Their number is never let go of."""
+        return attainable([self.places[m] for m in self.usable], limits)
+
+    def outlast(self, members: Collection[str], limits: SurviveLimits) -> bool:
+        """Whether of those of the members that live and stay any allowed loss leaves one."""
+        return not unmet_by_replicas([self.places[m] for m in self.sound(members)], limits)
 
     def sound(self, members: Collection[str]) -> list[str]:
         """Those of the members that live and stay."""
@@ -75,52 +79,49 @@
     return zlib.crc32(f"{part} {member}".encode())
 
 
+def attainable(places: Collection[Place], limits: SurviveLimits) -> SurviveLimits:
+    """The limits as far as there are zones and regions enough; machines that may be lost are never let go of."""
+    zones, regions = len({p.zone for p in places}), len({p.region for p in places})
+    return SurviveLimits(limits.nodes, min(limits.zones, max(0, zones - 1)), min(limits.regions, max(0, regions - 1)))
+
+
 def _choose(
-    part: int, wanted: Spread, having: Collection[str], named: Collection[str], stores: Stores, load: Counter[str]
+    part: int,
+    limits: SurviveLimits,
+    having: Collection[str],
+    named: Collection[str],
+    stores: Stores,
+    load: Counter[str],
 ) -> list[str]:
-    """Further members until the wanted spread is there, or nobody is left who brings it nearer.
+    """The fewest further members with which any allowed loss leaves one: other zones first, then those with least.
 
-    `having` count already; `named` are in the record, whether they count or not. A member of a new region brings a new
-    zone and a copy too, one of a new zone a copy, so what is rarest is looked for first: none is chosen in vain.
+    `having` count already; `named` are in the record, whether they count or not.
     """
     chosen: list[str] = []
-    while (lacking := wanted.lacking(span([*having, *chosen], stores.places))) != NOTHING:
-        best = _next_member(part, lacking, [*having, *chosen], {*named, *chosen}, stores, load)
-        if best is None:
-            break
-        chosen.append(best)
-        load[best] += 1
-    return chosen
-
-
-def _next_member(
-    part: int, lacking: Spread, having: list[str], named: set[str], stores: Stores, load: Counter[str]
-) -> str | None:
-    """Who brings a new region if one is lacking, else a new zone, else the one with least."""
-    zones = {stores.places[m].zone for m in having if m in stores.places}
-    regions = {stores.places[m].region for m in having if m in stores.places}
+    while True:
+        there = [*having, *chosen]
+        candidates = _preferred(part, there, {*named, *chosen}, stores, load)
+        best = choose_replicas(there, candidates, stores.places, limits)
+        if not best:
+            return chosen
+        chosen.append(best[0])
+        load[best[0]] += 1
 
-    def order(member: str) -> tuple[bool, bool, int, int]:
-        place = stores.places[member]
-        known_region = lacking.regions > 0 and place.region in regions
-        return known_region, place.zone in zones, load[member], _rank(part, member)
 
-    free = [m for m in stores.usable if m not in named]
-    if not lacking.nodes:
-        free = [m for m in free if _brings(stores.places[m], lacking, zones, regions)]
-    return min(free, key=order, default=None)
+def _preferred(part: int, there: list[str], named: set[str], stores: Stores, load: Counter[str]) -> list[str]:
+    zones = {stores.places[m].zone for m in there}
 
+    def order(member: str) -> tuple[bool, int, int]:
+        return stores.places[member].zone in zones, load[member], _rank(part, member)
 
-def _brings(place: Place, lacking: Spread, zones: set[str], regions: set[str]) -> bool:
-    """Whether a copy there brings a zone or a region that is lacking."""
-    return lacking.zones > 0 and place.zone not in zones or lacking.regions > 0 and place.region not in regions
+    return sorted((m for m in stores.usable if m not in named), key=order)
 
 
-def initial_records(parts: int, wanted: Spread, stores: Stores) -> dict[int, Part]:
+def initial_records(parts: int, limits: SurviveLimits, stores: Stores) -> dict[int, Part]:
     """The very first records, spread evenly; none while too few job store nodes live."""
-    if len(stores.usable) < wanted.nodes:
+    if len(stores.usable) <= limits.nodes:
         return {}
-    target = stores.attainable(wanted)
+    target = stores.attainable(limits)
     load: Counter[str] = Counter()
     heads: Counter[str] = Counter()
     records = {}
@@ -133,22 +134,22 @@
 
 
 def plan(
-    records: dict[int, Part], wanted: Spread, stores: Stores, lost: Mapping[int, Collection[str]] = {}
+    records: dict[int, Part], limits: SurviveLimits, stores: Stores, lost: Mapping[int, Collection[str]] = {}
 ) -> dict[int, Part]:
     """The records that change now, each under its next epoch. `lost`: by partition, whom its primary can't reach."""
     load = Counter(m for r in records.values() for m in (*r.members, *r.learners))
     changes = {}
     for n, record in records.items():
-        new = _repair(n, record, wanted, stores.without(set(lost.get(n, ())) - {record.primary}), load)
+        new = _repair(n, record, limits, stores.without(set(lost.get(n, ())) - {record.primary}), load)
         if new != record:
             changes[n] = replace(new, epoch=record.epoch + 1)
     moving = sum(len(r.learners) > 0 for r in (records | changes).values())
     if not changes and moving < MOVES:
-        changes = _balance(records, wanted, stores, MOVES - moving)
+        changes = _balance(records, limits, stores, MOVES - moving)
     return changes
 
 
-def _repair(n: int, record: Part, wanted: Spread, stores: Stores, load: Counter[str]) -> Part:
+def _repair(n: int, record: Part, limits: SurviveLimits, stores: Stores, load: Counter[str]) -> Part:
     living = [m for m in record.members if m in stores.places]
     if not living:
         return record  # nobody who has it all is there: wait
@@ -160,27 +161,27 @@
     learners = stores.sound(record.learners)
     having = [*stores.sound((primary, *backups)), *learners]
     named = (primary, *backups, *learners)
-    learners += _choose(n, stores.attainable(wanted), having, named, stores, load)
+    learners += _choose(n, stores.attainable(limits), having, named, stores, load)
     return Part(record.epoch, primary, tuple(backups), tuple(learners))
 
 
-def synced(record: Part, member: str, wanted: Spread, stores: Stores) -> Part:
+def synced(record: Part, member: str, limits: SurviveLimits, stores: Stores) -> Part:
     """A learner has all: it is a backup now, and who is dead or retiring leaves once the others are enough."""
     backups = [*record.backups, member]
     learners = tuple(j for j in record.learners if j != member)
     members = [record.primary, *backups]
     sound = stores.sound(members)
-    if stores.attainable(wanted).holds(sound, stores.places):
+    if stores.outlast(sound, stores.attainable(limits)):
         members = sound
     return Part(record.epoch + 1, members[0], tuple(members[1:]), learners)
 
 
-def trim(record: Part, wanted: Spread, stores: Stores, load: Counter[str]) -> Part:
+def trim(record: Part, limits: SurviveLimits, stores: Stores, load: Counter[str]) -> Part:
     """One member more than the spread needs: the dead and retiring leave first, then who has most to do."""
     if record.learners:
         return record
-    target = stores.attainable(wanted)
-    surplus = [m for m in record.members if target.holds(_others(stores.sound(record.members), m), stores.places)]
+    target = stores.attainable(limits)
+    surplus = [m for m in record.members if stores.outlast(_others(record.members, m), target)]
     if not surplus:
         return record
     sound = stores.sound(surplus)
@@ -193,19 +194,19 @@
     return [m for m in members if m != member]
 
 
-def _balance(records: dict[int, Part], wanted: Spread, stores: Stores, moves: int) -> dict[int, Part]:
+def _balance(records: dict[int, Part], limits: SurviveLimits, stores: Stores, moves: int) -> dict[int, Part]:
     load = Counter({m: 0 for m in stores.usable})
     load.update(m for r in records.values() for m in (*r.members, *r.learners))
     changes: dict[int, Part] = {}
     for n, record in sorted(records.items()):
-        trimmed = trim(record, wanted, stores, load)
+        trimmed = trim(record, limits, stores, load)
         if trimmed != record:
             load.subtract(set(record.members) - set(trimmed.members))
             changes[n] = trimmed
     if changes or not stores.usable:
         return changes
     for _ in range(moves):
-        move = _move(records, changes, wanted, stores, load)
+        move = _move(records, changes, limits, stores, load)
         if move is None:
             break
         n, giver, taker = move
@@ -216,10 +217,10 @@
 
 
 def _move(
-    records: dict[int, Part], changes: Mapping[int, Part], wanted: Spread, stores: Stores, load: Counter[str]
+    records: dict[int, Part], changes: Mapping[int, Part], limits: SurviveLimits, stores: Stores, load: Counter[str]
 ) -> tuple[int, str, str] | None:
     """A partition whose copy at a machine with more goes to the one with least: (partition, from, to)."""
-    target = stores.attainable(wanted)
+    target = stores.attainable(limits)
     taker = min(stores.usable, key=lambda m: load[m])
     for giver in sorted(stores.usable, key=lambda m: -load[m]):
         if load[giver] - load[taker] <= UNEVEN:
@@ -227,7 +228,7 @@
         for n, record in sorted(records.items()):
             if n in changes or record.learners or giver not in record.members or taker in record.members:
                 continue
-            if target.holds([*_others(stores.sound(record.members), giver), taker], stores.places):
+            if stores.outlast([*_others(record.members, giver), taker], target):
                 return n, giver, taker
     return None
 
--- a/otterreach/runtime/settings.py
+++ b/otterreach/runtime/settings.py
@@ -59,8 +59,8 @@
     heartbeat_s: float
     contracts: frozenset[str]
     survive_nodes: int  # machines that may be lost at once
-    survive_zones: int  # or zones
-    survive_regions: int  # or regions
+    survive_zones: int  # or zones, or regions: each by itself
+    survive_regions: int
     bounds: Bounds = field(repr=False)
 
     @property
--- a/tests/jobstore_world.py
+++ b/tests/jobstore_world.py
@@ -12,7 +12,7 @@
 from unittest import mock
 
 from otterreach.controller import planner
-from otterreach.controller.spread import Place, Spread
+from otterreach.controller.survival import Place, SurviveLimits
 from otterreach.jobstore.jobs import Kind
 from otterreach.jobstore.leadership import PartitionLeader
 from otterreach.jobstore.messages import (
@@ -54,7 +54,7 @@
 ROUTE = {"name": "r-lot", "host": "h", "prefix": "/p/", "kind": "rollout", "dueMs": 5000, "maxWaitS": 30}
 REGISTRAR = "core:7000"
 STALL_HOLDS_S = 0.9  # a disk that was told to stall counts as usable again so much later
-TWO = Spread.surviving(1, 0, 0)
+TWO = SurviveLimits(1)
 
 
 def body_of(job: str, item: int) -> bytes:
@@ -144,12 +144,12 @@
     """Everything. `alive` is what the controller believes."""
 
     def __init__(
-        self, stores: int = 3, seed: int = 1, wanted: Spread = TWO, zones: dict[str, str] | None = None
+        self, stores: int = 3, seed: int = 1, limits: SurviveLimits = TWO, zones: dict[str, str] | None = None
     ) -> None:
         self.random = Random(seed)
         self.net = Net(self.random)
         self.control = ReplicatedStore()
-        self.wanted, self.rev = wanted, 0
+        self.limits, self.rev = limits, 0
         self.zones = zones or {}  # by name; else each store is a zone of its own
         self.failures: list[BaseException] = []
         self.stores: dict[str, Store] = {}
@@ -238,9 +238,9 @@
         if not records and len(self.stores) < self.founding:
             return
         plan = (
-            planner.plan(records, self.wanted, known)
+            planner.plan(records, self.limits, known)
             if records
-            else planner.initial_records(PARTITIONS, self.wanted, known)
+            else planner.initial_records(PARTITIONS, self.limits, known)
         )
         for n, part in plan.items():
             self.put(f"part/{n}", part.json())
@@ -250,7 +250,7 @@
         if record.epoch != told.epoch:
             return Failure(Code.STALE_EPOCH, "another epoch")
         if told.member in record.learners:
-            self.put(f"part/{told.part}", planner.synced(record, told.member, self.wanted, self.known()).json())
+            self.put(f"part/{told.part}", planner.synced(record, told.member, self.limits, self.known()).json())
         return Done()
 
     async def _lost(self, link: Any, told: PartLost) -> None:
@@ -262,7 +262,7 @@
 
     async def _leaving(self, link: Any, told: Leaving) -> Done | Failure:
         name, known = member(told.node, told.disk), self.known()
-        if len([m for m in known.usable if m != name]) < self.wanted.nodes:
+        if len([m for m in known.usable if m != name]) <= self.limits.nodes:
             return Failure(Code.TOO_FEW_LEFT, "too few others")
         self.leaving.add(name)
         self.plan()
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -9,7 +9,7 @@
 
 from otterreach.controller.messages import Sighting, Sightings
 from otterreach.controller.node import FRONT_GONE_S, ControllerNode
-from otterreach.controller.spread import Spread
+from otterreach.controller.survival import SurviveLimits
 from otterreach.jobstore.messages import DiskStalled, Leaving
 from otterreach.proxy.messages import Loaded, Release
 from otterreach.runtime.codes import Code, Failure
@@ -54,7 +54,7 @@
         controller.settings, controller.control, controller.loop = SETTINGS, self.control, asyncio.get_running_loop()
         controller.heard, controller.heard_servers, controller._leaving, controller._lost = {}, {}, {}, {}
         controller._stalled, controller._ending, controller._left = {}, {}, {}
-        controller.wanted = Spread.surviving(1, 0, 0)
+        controller.limits = SurviveLimits(1)
 
     async def member(self, node: str, role: str, disk: str = "") -> None:
         link: Any = None
--- a/tests/test_retire.py
+++ b/tests/test_retire.py
@@ -8,10 +8,10 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from otterreach.controller.handlers import RetireResource
+from otterreach.controller.api.retirement import RetirementResource
 from otterreach.controller.messages import Operate, Operated
 from otterreach.controller.planner import Part, Stores
-from otterreach.controller.spread import Place, Spread
+from otterreach.controller.survival import Place, SurviveLimits
 from otterreach.runtime.store import Item, ReplicatedStore
 from tests.virtual import run
 
@@ -21,12 +21,15 @@
 class Control:
     """What is revised is known here at once, and committed only when `commit` is called."""
 
-    def __init__(self, committed: ReplicatedStore) -> None:
-        self.state, self.committed, self.rev = ReplicatedStore(), committed, 0
+    def __init__(self, published: ReplicatedStore) -> None:
+        self.state, self.published, self.rev = ReplicatedStore(), published, 0
 
     async def confirm(self) -> bool:
         return True
 
+    async def committed(self) -> bool:
+        return True
+
     def revise(self, changes: list[tuple[str, bytes]]) -> asyncio.Future[bool]:
         for key, value in changes:
             self.rev += 1
@@ -36,19 +39,19 @@
         return future
 
     def commit(self) -> None:
-        self.committed.apply(list(self.state.items.values()))
+        self.published.apply(list(self.state.items.values()))
 
 
 class Stage:
-    def __init__(self, zones: int = 0) -> None:
+    def __init__(self, zones: int = 0, names: str = "s1 s2 s3 s4") -> None:
         self.store = ReplicatedStore()
         self.control = Control(self.store)
         control: Any = self.control
-        self.living = set(ZONES)
+        self.living = {f"{name}#d" for name in names.split()}
         self.settled = True
-        self.resource = RetireResource(control, self.store, self.stores, Spread.surviving(1, zones, 0))
-        for name in ZONES:
-            self.put(f"member/{name[:2]}", {"role": "store", "disk": "d"})
+        self.resource = RetirementResource(control, self.store, self.stores, SurviveLimits(1, zones))
+        for name in names.split():
+            self.put(f"member/{name}", {"role": "store", "disk": "d", "zone": ZONES[f"{name}#d"], "region": "r"})
 
     def stores(self) -> Stores | None:
         retiring = {f"{node}#{r['disk']}" for node, r in self.control.state.named("retire").items()}
@@ -120,16 +123,15 @@
 
     def test_refused_if_the_others_are_too_few_or_in_too_few_zones(self) -> None:
         async def scene() -> None:
-            for zones, living, status in (
+            for zones, names, status in (
                 (0, "s1 s2 s3", 200),
                 (0, "s1 s3", 409),
                 (1, "s1 s2 s3", 200),
                 (1, "s1 s3 s4", 409),
                 (1, "s1 s2", 409),
             ):
-                with self.subTest(f"{zones} {living}"):
-                    stage = Stage(zones)
-                    stage.living = {f"{name}#d" for name in living.split()}
+                with self.subTest(f"{zones} {names}"):
+                    stage = Stage(zones, names)
                     self.assertEqual(status, await stage.begin())
 
         play(scene)
@@ -150,7 +152,7 @@
             stage = Stage()
             await stage.begin()
             stage.living = {"s1#e", "s2#d", "s3#d", "s4#d"}
-            stage.put("member/s1", {"role": "store", "disk": "e"})
+            stage.put("member/s1", {"role": "store", "disk": "e", "zone": "a", "region": "r"})
             self.assertEqual(200, await stage.begin())
             self.assertEqual({"disk": "e"}, stage.control.state.get("retire/s1"))
 
