Replicated store: drop tombstones that nobody needs any more, proved by digests

Change: a copy has `collected`, the rev up to which it has dropped tombstones. It takes nothing absent that is not newer. It raises that rev to its parent's only once their digests prove that it has all else; an answer to Follow names the ranges that it tells whole, so that what has ended meanwhile is noted. The primary doesn't collect yet.

--- a/otterreach/runtime/relay.py
+++ b/otterreach/runtime/relay.py
@@ -11,7 +11,7 @@
 import asyncio
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
 from otterreach.runtime.codec import message
@@ -51,6 +51,8 @@
     items: list[Item]
     digest: int  # over all that the parent has
     asked_ms: int = 0  # the StillThere that this answers, by its asker's clock
+    collected: int = 0  # the parent has dropped tombstones up to this rev
+    ranges: list[int] = field(default_factory=list)  # of keys: all that the parent has in them is among the items
 
 
 @message(16)
@@ -96,14 +98,15 @@
         if link not in self.children:
             self.children[link] = ask.node
             link.on_close.append(self._leave)
-        return self._changes(self.store.differing(ask.digests))
+        ranges = self.store.differing_ranges(ask.digests)
+        return self._changes(self.store.in_ranges(ranges), ranges=ranges)
 
     def _leave(self, link: Link) -> None:
         self.children.pop(link, None)
 
-    def _changes(self, items: list[Item], asked_ms: int = 0) -> Changes:
-        age_ms = min(int(self.age_s() * 1000) + 1, UNKNOWN_MS)
-        return Changes(age_ms, self.store.rev, items, self.store.digest, asked_ms)
+    def _changes(self, items: list[Item], asked_ms: int = 0, ranges: list[int] | None = None) -> Changes:
+        age_ms, store = min(int(self.age_s() * 1000) + 1, UNKNOWN_MS), self.store
+        return Changes(age_ms, store.rev, items, store.digest, asked_ms, store.collected, ranges or [])
 
     def publish(self, items: list[Item]) -> None:
         """Tell the children what has just been taken."""
@@ -201,8 +204,8 @@
 
     def _take(self, changes: Changes, asked: float | None) -> None:
         self._heard_at = self.loop.time()
-        taken = self.store.apply(changes.items)
-        if changes.digest == self.store.digest:
+        taken = self.store.replace_ranges(changes.ranges, changes.items, changes.collected)
+        if self.store.equals(changes.digest, changes.collected):
             if asked is not None:
                 self.root_at = max(self.root_at, asked - changes.age_ms / 1000)
         elif not changes.items and changes.rev >= self.store.rev:
--- a/otterreach/runtime/store.py
+++ b/otterreach/runtime/store.py
@@ -1,4 +1,9 @@
-"""A copy of the control state: items by key, each with a rev that only rises. Every process holds one."""
+"""A copy of the control state: items by key, each with a rev that only rises. Every process holds one.
+
+Tombstones are kept until everybody may forget them: `collected` is the rev up to which this copy has dropped them. A
+copy may do so only when it has all else up to that rev, so that what is absent here and not newer is known to be gone
+(docs/control-state.md).
+"""
 
 from __future__ import annotations
 
@@ -49,6 +54,8 @@
         self.digests = [0] * RANGES
         self.digest = 0  # over all of them
         self.bytes = 0  # of all keys and values
+        self.collected = 0  # tombstones up to this rev have been dropped here
+        self._tombstones: dict[str, Item] = {}
         self._kinds: dict[str, dict[str, Item]] = {}
         self._watchers: dict[str, list[Callable[[Item], None]]] = {}
         self._decoded: dict[str, tuple[int, Any]] = {}
@@ -58,24 +65,87 @@
 
     def apply(self, items: Iterable[Item]) -> list[Item]:
         """Take what is newer; the one function that changes an item. Returns what was taken."""
-        taken = []
+        taken = [item for item in items if self._take(item)]
+        self._tell(taken)
+        return taken
+
+    def _take(self, item: Item) -> bool:
+        old = self.items.get(item.key)
+        if old.rev >= item.rev if old else item.rev <= self.collected:
+            return False
+        self._set(item.key, item)
+        self.rev = max(self.rev, item.rev)
+        return True
+
+    def _set(self, key: str, item: Item | None) -> None:
+        """Put an item in place of what is there under its key; None: nothing is there any more."""
+        kind, _, name = key.partition("/")
+        named = self._kinds.setdefault(kind, {})
+        change = 0
+        if old := self.items.pop(key, None):
+            change = _mark(old)
+            self.bytes -= _size(old)
+            self._tombstones.pop(key, None)
+            del named[name]
+        if item:
+            change ^= _mark(item)
+            self.bytes += _size(item)
+            self.items[key] = named[name] = item
+            if item.gone:
+                self._tombstones[key] = item
+        self.digests[range_of(key)] ^= change
+        self.digest ^= change
+
+    def _tell(self, items: list[Item]) -> None:
         for item in items:
-            old = self.items.get(item.key)
-            if old and old.rev >= item.rev:
-                continue
-            change = _mark(item) ^ (_mark(old) if old else 0)
-            self.digests[range_of(item.key)] ^= change
-            self.digest ^= change
-            self.bytes += _size(item) - (_size(old) if old else 0)
-            self.items[item.key] = item
-            kind, _, name = item.key.partition("/")
-            self._kinds.setdefault(kind, {})[name] = item
-            self.rev = max(self.rev, item.rev)
-            taken.append(item)
-        for item in taken:
             for watcher in self._watchers.get(item.key.partition("/")[0], ()):
                 watcher(item)
-        return taken
+
+    # Tombstones ----------------------------------------------------------------------------------
+
+    @property
+    def tombstones(self) -> int:
+        """How many are kept."""
+        return len(self._tombstones)
+
+    def _collectable(self, rev: int) -> list[Item]:
+        return [item for item in self._tombstones.values() if item.rev <= rev]
+
+    def collect(self, rev: int) -> None:
+        """Drop tombstones up to `rev`. Only for a copy that has all else up to there."""
+        for item in self._collectable(rev):
+            self._set(item.key, None)
+            self._decoded.pop(item.key, None)
+        self.collected = max(self.collected, rev)
+
+    def digest_collected(self, rev: int) -> int:
+        """The digest that this copy would have after `collect`."""
+        digest = self.digest
+        if rev <= self.collected:
+            return digest
+        for item in self._collectable(rev):
+            digest ^= _mark(item)
+        return digest
+
+    def equals(self, digest: int, collected: int) -> bool:
+        """Whether another copy, of which these are told, has the same items. Then it has proved that this one has all
+        else up to `collected` as well, and this one drops what the other has dropped."""
+        if self.digest_collected(collected) != digest:
+            return False
+        if collected > self.collected:
+            self.collect(collected)
+        return True
+
+    def replace_ranges(self, ranges: Iterable[int], items: list[Item], collected: int) -> list[Item]:
+        """Take all that another copy has in these ranges of keys. What it doesn't have there, and isn't newer than what
+        it collected, is gone: that is noted as a tombstone. Returns what was taken."""
+        whole, there = set(ranges), {item.key for item in items}
+        gone = [
+            Item(key, collected, b"")
+            for key, item in self.items.items()
+            if item.rev < collected and not item.gone and key not in there and range_of(key) in whole
+        ]
+        return self.apply([*gone, *items])
 
     def get(self, key: str) -> Any:
         """The value of an item, read from JSON once; None if there is none."""
@@ -105,9 +175,17 @@
         if keys:
             yield keys
 
+    def differing_ranges(self, digests: list[int]) -> list[int]:
+        """The ranges of keys in which another's digests differ from these."""
+        if len(digests) != RANGES:
+            return list(range(RANGES))
+        return [n for n in range(RANGES) if digests[n] != self.digests[n]]
+
+    def in_ranges(self, ranges: Iterable[int]) -> list[Item]:
+        """All items of these ranges."""
+        wanted = set(ranges)
+        return [item for item in self.items.values() if range_of(item.key) in wanted] if wanted else []
+
     def differing(self, digests: list[int]) -> list[Item]:
         """The items of the ranges in which another's digests differ from these."""
-        if len(digests) != RANGES:
-            return list(self.items.values())
-        ranges = {n for n in range(RANGES) if digests[n] != self.digests[n]}
-        return [item for item in self.items.values() if range_of(item.key) in ranges] if ranges else []
+        return self.in_ranges(self.differing_ranges(digests))
