--- a/otterreach/controller/acceptor.py
+++ b/otterreach/controller/acceptor.py
@@ -84,6 +84,7 @@
         replica.promised = ask.number
         replica.store = ReplicatedStore()
         replica.store.apply(ask.items)
+        replica.collect_tombstones()
         replica.journal.append(SNAPSHOT, encode(ask))
         return Done() if await replica.sync() else replica.disk_failure
 
@@ -95,6 +96,7 @@
         if configuration is None or configuration.number != ask.number or replica.id not in configuration.backups:
             return Failure(Code.NOT_SYNCED, "not a backup of this epoch")
         replica.store.apply(ask.items)
+        replica.collect_tombstones()
         replica.journal.append(ITEMS, encode(ask))
         if not await replica.sync():
             return replica.disk_failure
--- a/otterreach/controller/primary.py
+++ b/otterreach/controller/primary.py
@@ -12,11 +12,12 @@
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
 from otterreach.controller.messages import Accept, AppendItems, EpochHeartbeat, EpochHeartbeatReply
 from otterreach.controller.replica_state import ITEMS, Mode, ReplicaState
+from otterreach.controller.tombstones import collected_rev
 from otterreach.runtime.codec import encode
 from otterreach.runtime.log import log
 from otterreach.runtime.relay import Follower
 from otterreach.runtime.rpc import Done, Endpoint
-from otterreach.runtime.store import Item
+from otterreach.runtime.store import RANGES, Item, ReplicatedStore
 
 HEARTBEAT_S = 0.1
 REVISION_BITS = 24  # of an item's rev: the count within its epoch; the epoch's number stands above
@@ -65,7 +66,7 @@
         self.follower.primary = self.settings.address
         self._counter = self._highest_revision()
         replica.become(Mode.PRIMARY, f"epoch {replica.number} in force")
-        self._publish(installed)  # at all members now; what was changed since is still to be appended
+        self._publish_whole(installed)  # at all members now; what was changed since is still to be appended
         self._refresh_root_time()
         if self._queue and not self._replicating:
             self.endpoint.spawn(self._replicate())
@@ -209,4 +210,18 @@
 
     def _publish(self, items: list[Item]) -> None:
         taken = self.follower.store.apply(item for item in items if not is_private(item.key))
+        self._tell_followers(taken)
+
+    def _publish_whole(self, items: list[Item]) -> None:
+        """All items there are: what the published copy had besides, from its time as a follower, is gone."""
+        public = [item for item in items if not is_private(item.key)]
+        state = ReplicatedStore()
+        state.apply(items)
+        taken = self.follower.store.replace_ranges(range(RANGES), public, collected_rev(state))
+        self._tell_followers(taken)
+
+    def _tell_followers(self, taken: list[Item]) -> None:
+        collected = collected_rev(self.follower.store)  # all members have the change that says so
+        self.follower.store.collect(collected)
+        self.replica.store.collect(collected)
         self.follower.relay.publish(taken)
--- a/otterreach/controller/replica_state.py
+++ b/otterreach/controller/replica_state.py
@@ -11,6 +11,7 @@
 
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
 from otterreach.controller.messages import Accept, AppendItems, InstallSnapshot
+from otterreach.controller.tombstones import collected_rev
 from otterreach.runtime import identity
 from otterreach.runtime.codec import decode, encode
 from otterreach.runtime.codes import Code, Failure
@@ -61,6 +62,7 @@
         """The state as the journal has it; a first start draws an id, which lasts after the next `sync`."""
         for kind, payload in records:
             self._load_record(kind, payload)
+        self.collect_tombstones()
         if not self.id:
             self.id, self.uninitialised = identity.draw(), self.settings.bootstrap
             self.journal.append(IDENTITY, self._identity_payload())
@@ -98,6 +100,10 @@
             yield [(CONFIGURATION, encode(Accept([self.accepted])))]
         yield [(PROMISE, str(self.promised).encode())]
 
+    def collect_tombstones(self) -> None:
+        """Drop those that the state itself says are to be dropped: it is whole, so nothing else is missing."""
+        self.store.collect(collected_rev(self.store))
+
     def live_bytes(self) -> int:
         """About how long a journal is that holds just the present state."""
         return self.store.bytes
--- a/otterreach/runtime/store.py
+++ b/otterreach/runtime/store.py
@@ -113,10 +113,12 @@
 
     def collect(self, rev: int) -> None:
         """Drop tombstones up to `rev`. Only for a copy that has all else up to there."""
+        if rev <= self.collected:
+            return
         for item in self._collectable(rev):
             self._set(item.key, None)
             self._decoded.pop(item.key, None)
-        self.collected = max(self.collected, rev)
+        self.collected = rev
 
     def digest_collected(self, rev: int) -> int:
         """The digest that this copy would have after `collect`."""
@@ -132,8 +134,7 @@
         else up to `collected` as well, and this one drops what the other has dropped."""
         if self.digest_collected(collected) != digest:
             return False
-        if collected > self.collected:
-            self.collect(collected)
+        self.collect(collected)
         return True
 
     def replace_ranges(self, ranges: Iterable[int], items: list[Item], collected: int) -> list[Item]:
--- a/otterreach/simulation/control.py
+++ b/otterreach/simulation/control.py
@@ -133,6 +133,7 @@
         self.troubles: faults.Troubles
         self.primaries: dict[int, str] = {}
         self.acked_items: dict[str, int] = {}  # key -> rev
+        self.ends: dict[str, int] = {}  # key -> rev of its last end, acknowledged or not
         self.seen: dict[tuple[str, int], dict[str, tuple[int, Any]]] = {}
         self.operators = operators
         self.stopping = False
@@ -222,6 +223,7 @@
                 future = plain(control, changes)
                 items = control.state.items
                 revs = {key: items[key].rev for key, _ in changes if key in items}
+                scenario.ends |= {key: rev for key, rev in revs.items() if items[key].gone}
                 future.add_done_callback(lambda done: scenario.noted(done, revs))
                 return future
 
@@ -252,10 +254,12 @@
         return max(troubles.thawed.get(name, -1e9), troubles.healed) if troubles else -1e9
 
     def check_acked(self, control: Control) -> None:
+        """Each acknowledged change is there, or a newer one; an end may have been collected."""
         for key, rev in self.acked_items.items():
             item = control.state.items.get(key)
+            collected = item is None and rev <= self.ends.get(key, 0) <= control.state.collected
             self.world.expect(
-                item and item.rev >= rev,
+                collected or item and item.rev >= rev,
                 "acknowledged is gone",
                 f"{key} {rev} at {control.settings.node} in {control.number}",
             )
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -21,7 +21,7 @@
 from otterreach.controller.api.servers import ServerResource
 from otterreach.controller.api.versions import VersionResource
 from otterreach.controller.messages import Operate, Operated
-from otterreach.controller.replication import is_private
+from otterreach.controller.primary import is_private
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.store import Item, ReplicatedStore
 from otterreach.sidecar import http1
--- /dev/null
+++ b/tests/test_tombstones.py
@@ -0,0 +1,101 @@
+"""Tombstones of the control state are dropped in time, and not sooner (otterreach/controller/tombstones.py)."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from otterreach.controller import tombstones
+from otterreach.controller.tombstones import KEY, PERIOD_S, PERIODS, TombstoneClock, collected_rev
+from otterreach.runtime.store import Item, ReplicatedStore
+from otterreach.simulation import control
+
+
+class Primary:
+    """A state, and a clock that writes into it as the primary does."""
+
+    def __init__(self) -> None:
+        self.state, self.rev, self.now = ReplicatedStore(), 0, 0.0
+        self.clock = TombstoneClock(lambda: self.state)
+
+    def write(self, key: str, value: bytes) -> None:
+        self.rev += 1
+        self.state.apply([Item(key, self.rev, value)])
+
+    def pass_time(self, seconds: float) -> None:
+        for _ in range(int(seconds)):
+            self.now += 1.0
+            for key, value in self.clock.due_change(self.now):
+                self.write(key, value)
+                self.state.collect(collected_rev(self.state))
+
+    def has(self, key: str) -> bool:
+        return key in self.state.items
+
+
+class ClockTest(unittest.TestCase):
+    def test_kept_for_five_minutes_and_not_much_longer(self) -> None:
+        for start in (0, 1, 30, 59):
+            primary = Primary()
+            primary.write("server/a", b"{}")
+            primary.pass_time(start)
+            primary.write("server/a", b"")
+            primary.pass_time(PERIODS * PERIOD_S - 1)
+            self.assertTrue(primary.has("server/a"), start)
+            primary.pass_time(2 * PERIOD_S)
+            self.assertFalse(primary.has("server/a"), start)
+
+    def test_a_new_primary_goes_on_from_the_marks_that_are_there(self) -> None:
+        primary = Primary()
+        primary.write("server/a", b"")
+        for term in range(PERIODS + 1):
+            self.assertTrue(primary.has("server/a"), term)
+            primary.clock = TombstoneClock(lambda: primary.state)
+            primary.clock.begin_period(primary.now)
+            primary.pass_time(PERIOD_S + 5)
+        self.assertFalse(primary.has("server/a"))
+
+    def test_a_period_that_was_not_seen_whole_does_not_count(self) -> None:
+        primary = Primary()
+        primary.write("server/a", b"")
+        for _ in range(50):
+            primary.clock.begin_period(primary.now)
+            primary.pass_time(PERIOD_S - 1)
+        self.assertTrue(primary.has("server/a"))
+        self.assertFalse(primary.has(KEY))
+
+    def test_nothing_is_written_while_there_are_none(self) -> None:
+        primary = Primary()
+        primary.write("server/a", b"{}")
+        primary.pass_time(10 * PERIOD_S)
+        self.assertFalse(primary.has(KEY))
+
+    def test_thousands_of_starts_leave_a_bounded_state(self) -> None:
+        primary = Primary()
+        for n in range(3000):
+            primary.write(f"server/{n}", b"{}")
+            primary.pass_time(1)
+            primary.write(f"server/{n}", b"")
+        self.assertLess(len(primary.state.items), (PERIODS + 2) * PERIOD_S)
+
+
+class SimulationTest(unittest.TestCase):
+    def test_all_promises_hold_while_tombstones_go_at_once(self) -> None:
+        """Far sooner than in service, so that followers and backups that missed much are there."""
+        dropped, real = set(), ReplicatedStore.collect
+
+        def collect(store: ReplicatedStore, rev: int) -> None:
+            before = set(store.items)
+            real(store, rev)
+            dropped.update(before - set(store.items))
+
+        at_once = mock.patch.multiple(tombstones, PERIOD_S=0.5, PERIODS=1)
+        with at_once, mock.patch.object(ReplicatedStore, "collect", collect):
+            for seed in (1, 2, 3):
+                world, _ = control.run(seed)
+                self.assertIsNone(world.failure, f"{seed}: {world.failure}")
+        self.assertGreater(len(dropped), 10)
+
+
+if __name__ == "__main__":
+    unittest.main()
