Store: digests of BLAKE2b marks, as sums of CRCs hid two missed changes

Cause: CRCs are linear. Two items whose revs had changed alike, say from ...0 to ...1 and from ...2 to ...3, cancelled each other out, and a follower that had missed both took itself for up to date.

--- a/otterreach/runtime/store.py
+++ b/otterreach/runtime/store.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import json
 import zlib
 from collections.abc import Callable, Iterable, Iterator
@@ -15,6 +16,7 @@
 
 from otterreach.runtime.codec import message
 
+MARK_BYTES = 7  # fits a message's signed number
 ITEM_BYTES = 48  # of an item in a message or a journal, besides key and value, about
 RANGES = 128  # what differs is found by digests over so many ranges of keys
 
@@ -38,7 +40,9 @@
 
 
 def _mark(item: Item) -> int:
-    return zlib.crc32(f"{item.key} {item.rev}".encode())
+    """What an item adds to the digests. Not a CRC: those are linear, and two changes could cancel each other out."""
+    digest = hashlib.blake2b(f"{item.key} {item.rev}".encode(), digest_size=MARK_BYTES)
+    return int.from_bytes(digest.digest(), "little")
 
 
 def _size(item: Item) -> int:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -167,6 +167,16 @@
 CopiesTest.settings = settings(max_examples=300, stateful_step_count=30, deadline=None, derandomize=True)
 
 
+class DigestTest(unittest.TestCase):
+    def test_two_missed_changes_do_not_hide_one_another(self) -> None:
+        """Provoked: sums of CRCs are linear, and two revs that changed alike cancelled each other out."""
+        for first, second in ((10, 12), (100, 104), (1000, 1064)):
+            older, newer = ReplicatedStore(), ReplicatedStore()
+            older.apply([Item("server/a", first, b"{}"), Item("server/b", second, b"{}")])
+            newer.apply([Item("server/a", first + 1, b"{}"), Item("server/b", second + 1, b"{}")])
+            self.assertNotEqual(older.digest, newer.digest, first)
+
+
 class CollectTest(unittest.TestCase):
     def test_an_item_older_than_what_was_collected_is_not_taken(self) -> None:
         store = ReplicatedStore()
