Controllers: the whole state goes to a backup in pieces, is taken up where it stopped, and counts once it is whole

Cause: a backup got the whole state in one message with 0.8 s to it, at every election: a large state over a thin link or to a slow machine never got through, and the primary counted its backup as lost.

It tells the digests of what it has built, so only ranges that differ are sent. The planted backup that takes no state is planted in the commit now.

--- a/otterreach/cli/data.py
+++ b/otterreach/cli/data.py
@@ -10,6 +10,7 @@
 from otterreach.cli.codes import Desk
 from otterreach.controller import messages as controller_messages  # noqa: F401  registers what the records hold
 from otterreach.controller import replica_state
+from otterreach.controller.tombstones import collected_rev
 from otterreach.jobstore.jobs import Job, Kind
 from otterreach.jobstore.partition import Copy, Mark, part_in
 from otterreach.jobstore.placement import PARTITIONS
@@ -24,6 +25,9 @@
     replica_state.CONFIGURATION: "epoch",
     replica_state.ITEMS: "items",
     replica_state.SNAPSHOT: "state",
+    replica_state.STAGING: "staging",
+    replica_state.PIECE: "piece",
+    replica_state.COMMIT: "commit",
 }
 JOB_KINDS = {
     Mark.DISK: "disk",
@@ -122,6 +126,11 @@
         if entry.kind in (replica_state.ITEMS, replica_state.SNAPSHOT):
             told = decode(25 if entry.kind == replica_state.ITEMS else 24, entry.payload)
             return name, f"number={told.number} {_items(told.items)}"
+        if entry.kind == replica_state.PIECE:
+            piece = decode(38, entry.payload)
+            return name, f"number={piece.number} ranges={len(piece.ranges)} {_items(piece.items)}"
+        if entry.kind == replica_state.COMMIT:
+            return name, f"number={decode(39, entry.payload).number}"
     except (MessageError, IndexError) as error:
         return name, f"unreadable={error}"
     return name, f"value={entry.payload.decode(errors='replace')}"
@@ -129,13 +138,21 @@
 
 def state_in(data: bytes) -> ReplicatedStore:
     """The control state as a controller's journal has it. What was not acknowledged may be in it, too."""
-    store = ReplicatedStore()
+    store, staged = ReplicatedStore(), ReplicatedStore()
     for entry in walk(data):
         if entry.kind == replica_state.SNAPSHOT:
             store = ReplicatedStore()
             store.apply(decode(24, entry.payload).items)
         elif entry.kind == replica_state.ITEMS:
             store.apply(decode(25, entry.payload).items)
+        elif entry.kind == replica_state.STAGING:
+            staged = store.copy()
+        elif entry.kind == replica_state.PIECE:
+            piece = decode(38, entry.payload)
+            staged.overwrite_ranges(piece.ranges, piece.items)
+        elif entry.kind == replica_state.COMMIT:
+            store, staged = staged, ReplicatedStore()
+    store.collect(collected_rev(store))
     return store
 
 
--- a/otterreach/controller/acceptor.py
+++ b/otterreach/controller/acceptor.py
@@ -10,16 +10,14 @@
     EpochHeartbeatReply,
     IdentityReply,
     IdentityRequest,
-    InstallSnapshot,
     Prepare,
     Promise,
 )
-from otterreach.controller.replica_state import ITEMS, SNAPSHOT, ReplicaState
+from otterreach.controller.replica_state import ITEMS, ReplicaState
 from otterreach.runtime.codec import encode
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.relay import Follower
 from otterreach.runtime.rpc import Done, Endpoint, Link
-from otterreach.runtime.store import ReplicatedStore
 
 PRIMARY_HEARD_S = 0.35  # heard of a primary within this: no promise to another candidate
 
@@ -31,7 +29,6 @@
         self.replica, self.follower = replica, follower
         endpoint.on(Prepare, self.prepare)
         endpoint.on(Accept, self.accept)
-        endpoint.on(InstallSnapshot, self.install_snapshot)
         endpoint.on(AppendItems, self.append_items)
         endpoint.on(EpochHeartbeat, self.heartbeat)
         endpoint.on(IdentityRequest, self.identify)
@@ -75,19 +72,6 @@
         replica.hear_primary(configuration.primary)
         return Accepted(replica.promised == configuration.number, replica.promised, replica.id)
 
-    async def install_snapshot(self, link: Link, ask: InstallSnapshot) -> Done | Failure:
-        """Replace the control state by the new primary's."""
-        replica = self.replica
-        if ask.target != replica.id or ask.number < replica.promised:
-            return self._stale()
-        replica.step_down("installed")
-        replica.promised = ask.number
-        replica.store = ReplicatedStore()
-        replica.store.apply(ask.items)
-        replica.collect_tombstones()
-        replica.journal.append(SNAPSHOT, encode(ask))
-        return Done() if await replica.sync() else replica.disk_failure
-
     async def append_items(self, link: Link, ask: AppendItems) -> Done | Failure:
         """Store the primary's changes, as a backup of its epoch."""
         replica, configuration = self.replica, self.replica.accepted
--- a/otterreach/controller/election.py
+++ b/otterreach/controller/election.py
@@ -16,16 +16,15 @@
     Accepted,
     IdentityReply,
     IdentityRequest,
-    InstallSnapshot,
     Prepare,
     Promise,
 )
 from otterreach.controller.replica_state import Mode, ReplicaState
-from otterreach.runtime.rpc import Done, Endpoint
-from otterreach.runtime.store import Item
+from otterreach.controller.snapshot import SnapshotSender, install_all
+from otterreach.runtime.rpc import Endpoint
+from otterreach.runtime.store import Item, ReplicatedStore
 
 CALL_S = 0.4
-INSTALL_S = 2 * CALL_S
 GRACE_S = 0.03  # how long those that may still answer are waited for, once enough have
 # Silence of the primary before a member stands: the base, more for each later rank, and a random part.
 ELECT_S, ELECT_RANK_S, ELECT_SPREAD_S = 0.45, 0.2, 0.1
@@ -48,6 +47,7 @@
         self.replica, self.endpoint, self.random = replica, endpoint, random
         self.settings = replica.settings
         self.become_primary = become_primary
+        self.snapshots = SnapshotSender(replica, endpoint)
         self.in_progress = False
         self._timeout = START_S
         replica.on_mode_change.append(self._mode_changed)
@@ -237,9 +237,9 @@
 
     async def _install_snapshots(self, targets: list[ControllerInfo], number: int, items: list[Item]) -> list[str]:
         """The ids of those that have the whole state on their disks now."""
-        calls = (self.endpoint.call(w.address, InstallSnapshot(number, w.id, items), INSTALL_S) for w in targets)
-        replies = await asyncio.gather(*calls)
-        return [w.id for w, reply in zip(targets, replies, strict=True) if isinstance(reply, Done)]
+        state = ReplicatedStore()
+        state.apply(items)
+        return await install_all(self.snapshots, targets, number, state)
 
     async def _accept_configuration(
         self, base: EpochConfiguration, configuration: EpochConfiguration, required: set[str]
--- a/otterreach/controller/messages.py
+++ b/otterreach/controller/messages.py
@@ -47,7 +47,7 @@
 @message(24)
 @dataclass(slots=True)
 class InstallSnapshot:
-    """The new primary to a backup to be: the whole state. Done, or STALE_EPOCH."""
+    """In a journal: the state from here on. Not sent: a snapshot goes in pieces."""
 
     number: int
     target: str  # the id that is meant: nobody else at that address
@@ -104,6 +104,47 @@
     controller: list[ControllerInfo]
 
 
+@message(36)
+@dataclass(slots=True)
+class SnapshotOffer:
+    """A candidate or primary to a controller: the state is to be had here. SnapshotStatus, or STALE_EPOCH."""
+
+    number: int
+    target: str  # the id that is meant: nobody else at that address
+    session: str  # of this transfer; another takes its place
+
+
+@message(37)
+@dataclass(slots=True)
+class SnapshotStatus:
+    """What the receiver has built so far."""
+
+    digests: list[int]
+
+
+@message(38)
+@dataclass(slots=True)
+class SnapshotPiece:
+    """All items of some ranges of keys. Done once they are on disk."""
+
+    number: int
+    target: str
+    session: str
+    ranges: list[int]
+    items: list[Item]
+
+
+@message(39)
+@dataclass(slots=True)
+class SnapshotCommit:
+    """The copy is whole if it has these digests: put it in place. Done once that is on disk."""
+
+    number: int
+    target: str
+    session: str
+    digests: list[int]
+
+
 @message(0)
 @dataclass(slots=True)
 class Sighting:
--- a/otterreach/controller/replica_state.py
+++ b/otterreach/controller/replica_state.py
@@ -10,7 +10,7 @@
 from enum import Enum
 
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
-from otterreach.controller.messages import Accept, AppendItems, InstallSnapshot
+from otterreach.controller.messages import Accept, AppendItems, InstallSnapshot, SnapshotCommit, SnapshotPiece
 from otterreach.controller.tombstones import collected_rev
 from otterreach.runtime import identity
 from otterreach.runtime.codec import decode, encode
@@ -23,6 +23,8 @@
 
 # Kinds of journal records.
 IDENTITY, PROMISE, CONFIGURATION, ITEMS, SNAPSHOT = 1, 2, 3, 4, 5
+STAGING, PIECE, COMMIT = 6, 7, 8  # of a copy that is built beside the present one, and takes its place
+STAGING_IDLE_S = 10.0  # a transfer that stopped for so long no longer holds up a rewrite of the journal
 SLICE_BYTES = 32 * 1024  # of the state, encoded in one turn of the loop
 PRIMARY_ADDRESS_VALID_S = 2.0  # how long the primary's address is taken for true after it was last heard
 
@@ -49,6 +51,9 @@
         self.promised = 0
         self.accepted: EpochConfiguration | None = None
         self.store = ReplicatedStore()  # at the primary also what is not yet at all replicas
+        self.staged: ReplicatedStore | None = None  # a copy that is not whole yet
+        self.staged_session = ""
+        self._staged_at = 0.0
         self.primary_heard_at = self.loop.time()
         self.primary_heard = ""  # its id
         self.highest_seen = 0  # the highest epoch number heard of
@@ -86,6 +91,49 @@
             self.store.apply(snapshot.items)
             self.promised = max(self.promised, snapshot.number)
 
+        elif kind == STAGING:
+            self.staged = self.store.copy()
+        elif kind == PIECE and self.staged is not None:
+            piece = decode(38, payload)
+            self.staged.overwrite_ranges(piece.ranges, piece.items)
+        elif kind == COMMIT and self.staged is not None:
+            self._put_staged_in_place(decode(39, payload).number)
+
+    # A copy that is being built ------------------------------------------------------------------
+
+    def begin_staging(self) -> None:
+        """Build a new copy, from the present one. A rewrite of the journal has to wait for it: its slices would mix."""
+        self.journal.abandon_rewrite()
+        self.journal.append(STAGING, b"")
+        self.staged, self._staged_at = self.store.copy(), self.loop.time()
+
+    def stage(self, piece: SnapshotPiece) -> None:
+        """More of it; it lasts after the next `sync`."""
+        assert self.staged is not None
+        self.journal.append(PIECE, encode(piece))
+        self.staged.overwrite_ranges(piece.ranges, piece.items)
+        self._staged_at = self.loop.time()
+
+    def commit_staged(self, commit: SnapshotCommit) -> None:
+        """It is whole: it replaces the present copy; that lasts after the next `sync`."""
+        self.journal.append(COMMIT, encode(commit))
+        self._put_staged_in_place(commit.number)
+        self.collect_tombstones()
+
+    def _put_staged_in_place(self, number: int) -> None:
+        assert self.staged is not None
+        self.store, self.staged = self.staged, None
+        self.promised = max(self.promised, number)
+
+    def may_rewrite(self) -> bool:
+        """Whether the journal may be rewritten: not while a copy is being built. One that isn't is dropped."""
+        if self.staged is None:
+            return True
+        if self.loop.time() - self._staged_at < STAGING_IDLE_S:
+            return False
+        self.staged = None
+        return True
+
     def _identity_payload(self) -> bytes:
         return f"{self.id} {int(self.uninitialised)}".encode()
 
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -16,6 +16,7 @@
 from otterreach.controller.membership import Membership
 from otterreach.controller.primary import Primary
 from otterreach.controller.replica_state import Mode, ReplicaState
+from otterreach.controller.snapshot import SnapshotReceiver
 from otterreach.runtime.compaction import Compaction, Limits
 from otterreach.runtime.journal import Journal
 from otterreach.runtime.journal import Record as JournalRecord
@@ -44,6 +45,7 @@
         self.replica = ReplicaState(settings, journal)
         self.replica.on_mode_change.append(self._set_root)
         self.acceptor = Acceptor(self.replica, endpoint, follower)
+        self.snapshots = SnapshotReceiver(self.replica, endpoint)
         self.election = Election(self.replica, endpoint, random, self.become_primary)
         self.primary = Primary(self.replica, endpoint, follower, self.election)
         self.membership = Membership(self.replica, endpoint, follower, self.election, self.primary)
@@ -137,6 +139,7 @@
             elif self.election.is_due():
                 await self.election.stand()
             self.membership.ask_to_join_when_due(now)
-            self.compaction.start_if_due()
+            if self.compaction.due and self.replica.may_rewrite():
+                self.compaction.start_if_due()
             if self.replica.journal.failed is not None:
                 self.replica.fail_disk()
--- a/otterreach/runtime/journal.py
+++ b/otterreach/runtime/journal.py
@@ -122,7 +122,7 @@
         self.buffered = 0
         self.end = 0  # bytes written
         self.file: int | None = None
-        self.given_up = False
+        self.given_up = 0  # why: an error number
         self.renaming = False  # from here on it may stand in the old one's place
         self._records: list[bytes] = []
 
@@ -137,7 +137,7 @@
 
     def write(self, records: list[bytes]) -> None:
         if self.given_up:
-            raise OSError(errno.ENOSPC, "the log needs the room")
+            raise OSError(self.given_up, "given up")
         if self.file is None:
             self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_TRUNC, 0o644)
         data = b"".join(records)
@@ -158,7 +158,7 @@
 
     def give_up(self) -> None:
         """The log needs the room: the next step of the rewrite fails."""
-        self.given_up = True
+        self.given_up = errno.ENOSPC
         self.discard()
 
     def discard(self) -> None:
@@ -317,6 +317,11 @@
             self._new = None
             self._rewrite_thread.submit(new.discard)
 
+    def abandon_rewrite(self) -> None:
+        """End a rewrite that is under way, if slices are still to come: what follows must not stand among them."""
+        if self._new is not None:
+            self._new.given_up = errno.ECANCELED
+
     async def _in_rewrite_thread(self, step: Callable[..., None], *args: object) -> None:
         await asyncio.get_running_loop().run_in_executor(self._rewrite_thread, step, *args)
 
@@ -356,7 +361,9 @@
         return True
 
     def _rewrite_failed(self, new: _NewFile, error: OSError) -> None:
-        if error.errno in NO_ROOM and not new.renaming:
+        if error.errno == errno.ECANCELED and not new.renaming:
+            log("journal_rewrite_abandoned", file=self.path.name)
+        elif error.errno in NO_ROOM and not new.renaming:
             log("journal_rewrite_no_room", level="WARNING", file=self.path.name, error=error)
         else:
             self._fail(error)
--- a/otterreach/runtime/store.py
+++ b/otterreach/runtime/store.py
@@ -105,6 +105,34 @@
             for watcher in self._watchers.get(item.key.partition("/")[0], ()):
                 watcher(item)
 
+    # Whole copies --------------------------------------------------------------------------------
+
+    def copy(self) -> ReplicatedStore:
+        """Another store with the same items, without watchers, and as if nothing had been collected."""
+        other = ReplicatedStore()
+        other.items, other._tombstones = self.items.copy(), self._tombstones.copy()
+        other._kinds = {kind: items.copy() for kind, items in self._kinds.items()}
+        other.digests, other.digest = self.digests.copy(), self.digest
+        other.bytes, other.rev = self.bytes, self.rev
+        return other
+
+    def overwrite_ranges(self, ranges: Iterable[int], items: Iterable[Item]) -> None:
+        """These ranges of keys hold exactly these items from now on, older or newer. Nobody is told: for a copy that is
+        still being built."""
+        wanted = set(ranges)
+        for key in [key for key in self.items if range_of(key) in wanted]:
+            self._set(key, None)
+        for item in items:
+            self._set(item.key, item)
+            self.rev = max(self.rev, item.rev)
+
+    def range_sizes(self) -> list[int]:
+        """Bytes of items in each range of keys."""
+        sizes = [0] * RANGES
+        for item in self.items.values():
+            sizes[range_of(item.key)] += _size(item)
+        return sizes
+
     # Tombstones ----------------------------------------------------------------------------------
 
     @property
--- a/otterreach/simulation/disk.py
+++ b/otterreach/simulation/disk.py
@@ -134,6 +134,9 @@
             self._copied = None
             self.disk.second = 0
 
+    def abandon_rewrite(self) -> None:
+        self._given_up = True
+
     async def _fill(self, slices: Iterable[Slice]) -> bool:
         """Write slices and what is appended meanwhile, some at a time, each as slow as the disk is."""
         assert self._copied is not None
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -10,7 +10,7 @@
 from typing import Any
 from unittest import mock
 
-from otterreach.controller.acceptor import Acceptor
+from otterreach.controller.snapshot import SnapshotReceiver
 from otterreach.jobstore.leadership import PartitionLeader
 from otterreach.runtime import rpc
 from otterreach.runtime.codes import Code, Failure
@@ -315,11 +315,11 @@
         return ""
 
     def test_backup_that_takes_no_state(self) -> None:
-        async def install(self: Acceptor, link: Link, ask: Any) -> Done:
+        async def commit(self: SnapshotReceiver, link: Link, ask: Any) -> Done:
             self.replica.promised = max(self.replica.promised, ask.number)
             return Done()
 
-        with mock.patch.object(Acceptor, "install_snapshot", install):
+        with mock.patch.object(SnapshotReceiver, "commit", commit):
             self.assertNotEqual("", self.found(control.run, 8))
 
     def test_acknowledged_without_the_backups(self) -> None:
