A connection between own processes whose call timed out is closed once nothing is under way on it

Cause: it was put aside and stayed open for ever; each long silence left one at both ends.

Change: it is retired: closed as soon as no call is under way on it in either direction, after a second at the earliest (one-way messages) and ten at the latest. The kernel asks after the other machine on connections at rest, so that one that vanished leaves none either. A result code that is not known is a Failure of that call, not the end of the link.

--- a/otterreach/runtime/rpc.py
+++ b/otterreach/runtime/rpc.py
@@ -22,6 +22,10 @@
 MAX_BACKLOG = 64 * 1024 * 1024  # unread by the other end: it is stuck, and memory is bounded
 CONNECT_S = 0.5
 USER_TIMEOUT_MS = 1500  # unacknowledged for so long: the other machine is gone or cut off
+KEEPALIVE_IDLE_S = 15  # at rest for so long, the kernel asks whether the other machine is still there
+RETIRED_LEAST_S = 1.0  # a retired connection stays: what was sent one way may still be on its way
+RETIRED_MOST_S = 10.0  # then it is closed, whatever is under way on it
+RETIRED_LOOK_S = 0.25
 
 Handler = Callable[["Link", Any], Awaitable[Any]]
 
@@ -54,6 +58,7 @@
         self._transport: asyncio.Transport | None = None
         self._buffer = bytearray()
         self._calls: dict[int, asyncio.Future[Any]] = {}
+        self._serving = 0  # calls of the other end that are worked on here
         self._next = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -101,7 +106,7 @@
         if flags & REPLY:
             future = self._calls.pop(call, None)
             if future and not future.done():
-                future.set_result(Failure(Code(value.code), value.reason) if isinstance(value, Refused) else value)
+                future.set_result(_failure(value) if isinstance(value, Refused) else value)
             return
         handler = self.endpoint.handlers.get(type(value))
         if handler is None:
@@ -111,17 +116,24 @@
         self.endpoint.spawn(self._serve(handler, call, value))
 
     async def _serve(self, handler: Handler, call: int, value: Any) -> None:
+        self._serving += 1
         try:
-            reply = await handler(self, value)
-        except Exception as error:  # a fault in one handler ends one call, not the process
-            log("handler_failed", level="ERROR", message=type(value).__name__, error=repr(error))
-            reply = Failure(Code.INTERNAL, type(error).__name__)
+            reply = await self._handle(handler, value)
+        finally:
+            self._serving -= 1
         if not call:
             return
         if isinstance(reply, Failure):
             reply = Refused(int(reply.code), reply.reason)
         self._write(call, Done() if reply is None else reply, REPLY)
 
+    async def _handle(self, handler: Handler, value: Any) -> Any:
+        try:
+            return await handler(self, value)
+        except Exception as error:  # a fault in one handler ends one call, not the process
+            log("handler_failed", level="ERROR", message=type(value).__name__, error=repr(error))
+            return Failure(Code.INTERNAL, type(error).__name__)
+
     def _write(self, call: int, value: Any, flags: int) -> None:
         if self.closed or self._transport is None:
             return
@@ -155,17 +167,44 @@
         if future and not future.done():
             future.set_result(Failure(Code.TIMED_OUT, "no answer in time"))
 
+    def retire(self) -> None:
+        """Nothing new goes out from here. It is closed once nothing is under way on it, and in bounded time anyway."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(RETIRED_LEAST_S, self._close_retired, loop.time() + RETIRED_MOST_S)
+
+    def _close_retired(self, end: float) -> None:
+        loop = asyncio.get_running_loop()
+        if self.closed or self._transport is None:
+            return
+        if (self._calls or self._serving) and loop.time() < end:
+            loop.call_later(RETIRED_LOOK_S, self._close_retired, end)
+        elif self._transport.get_write_buffer_size():
+            self.abort()  # the other end does not read: what waits here would keep the connection open
+        else:
+            self._transport.close()
+
     def abort(self) -> None:
         if self._transport:
             self._transport.abort()
 
 
+def _failure(refused: Refused) -> Failure:
+    """Danger: a newer process may send a code that is not known here. Whether it was done is then not known either."""
+    try:
+        return Failure(Code(refused.code), refused.reason)
+    except ValueError:
+        return Failure(Code.INTERNAL, f"code {refused.code}: {refused.reason}")
+
+
 def tune(sock: socket.socket | None) -> None:
     """Small messages leave at once; a peer that is dark is noticed. A connection in memory has no socket."""
     if sock is None:
         return
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
 
 
 class Endpoint:
@@ -243,6 +282,7 @@
         reply = await link.call(value, max(0.001, end - loop.time()))
         if isinstance(reply, Failure) and reply.code is Code.TIMED_OUT and self._opened.get(address) is link:
             del self._opened[address]  # frozen or dark: the next call tries anew, others may still end on this one
+            link.retire()
         return reply
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/test_rpc.py
@@ -0,0 +1,123 @@
+"""Connections between own processes: what ends them, and that silence leaves none behind (runtime/rpc.py)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.rpc import RETIRED_LEAST_S, RETIRED_MOST_S, Done, Endpoint, Link, Refused
+from tests import virtual
+from tests.virtual import MemoryLoop
+
+ADDRESS = "10.0.0.2:5"
+
+
+class Pair:
+    """Two endpoints; `far` answers each call after `wait_s`."""
+
+    def __init__(self) -> None:
+        self.near, self.far = Endpoint(), Endpoint()
+        self.wait_s = 0.0
+        self.asked = 0
+        self.far.on(Done, self._answer)
+        self.near.on(Done, self._answer)
+
+    async def _answer(self, link: Link, ask: Done) -> Done:
+        self.asked += 1
+        await asyncio.sleep(self.wait_s)
+        return Done()
+
+    async def call(self, timeout_s: float = 1.0) -> Any:
+        return await self.near.call(ADDRESS, Done(), timeout_s)
+
+    @property
+    def open(self) -> tuple[int, int]:
+        return len(self.near.links), len(self.far.links)
+
+
+def play(main: Callable[[Pair], Awaitable[None]]) -> None:
+    async def body() -> None:
+        pair = Pair()
+        await pair.far.listen("10.0.0.2", 5)
+        await main(pair)
+
+    virtual.run(body, MemoryLoop())
+
+
+def test_silence_after_silence_leaves_no_connection_behind() -> None:
+    async def main(pair: Pair) -> None:
+        pair.wait_s = 3600.0
+        for _ in range(200):
+            reply = await pair.call(0.1)
+            assert isinstance(reply, Failure) and reply.code is Code.TIMED_OUT
+        assert pair.open[0] <= RETIRED_LEAST_S / 0.1 + 2
+        await asyncio.sleep(RETIRED_MOST_S + 1.0)
+        assert pair.open == (0, 0)
+
+    play(main)
+
+
+def test_what_is_under_way_ends_on_the_old_connection() -> None:
+    async def main(pair: Pair) -> None:
+        pair.wait_s = 4.0
+        long = asyncio.ensure_future(pair.call(6.0))
+        await asyncio.sleep(0)
+        reply = await pair.call(0.5)
+        assert isinstance(reply, Failure)
+        assert await long == Done()
+        await asyncio.sleep(1.0)
+        assert pair.open == (0, 0)
+
+    play(main)
+
+
+def test_a_call_of_the_other_end_ends_on_the_old_connection() -> None:
+    async def main(pair: Pair) -> None:
+        await pair.call()
+        pair.wait_s = 4.0
+        (back,) = pair.far.links
+        long = asyncio.ensure_future(back.call(Done(), 6.0))
+        await asyncio.sleep(0.1)
+        reply = await pair.call(0.5)
+        assert isinstance(reply, Failure)
+        assert await long == Done()
+
+    play(main)
+
+
+def test_an_answer_after_the_time_reaches_nobody() -> None:
+    async def main(pair: Pair) -> None:
+        pair.wait_s = 0.2
+        first = await pair.call(0.1)
+        pair.wait_s = 0.0
+        assert isinstance(first, Failure)
+        assert await pair.call() == Done()
+        await asyncio.sleep(0.5)
+        assert pair.asked == 2
+
+    play(main)
+
+
+def test_a_code_of_a_newer_process_is_a_failure_of_that_call_alone() -> None:
+    async def main(pair: Pair) -> None:
+        async def refuse(link: Link, ask: Done) -> Refused:
+            return Refused(9999, "new")
+
+        pair.far.on(Done, refuse)
+        reply = await pair.call()
+        assert isinstance(reply, Failure) and reply.maybe_done
+        assert pair.open == (1, 1)
+
+    play(main)
+
+
+def test_the_connection_that_serves_is_kept() -> None:
+    async def main(pair: Pair) -> None:
+        for _ in range(5):
+            assert await pair.call() == Done()
+            await asyncio.sleep(20.0)
+        assert pair.open == (1, 1)
+
+    play(main)
