--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -294,6 +294,7 @@
         self.loop, self.script, self.gives_ids = loop, script, gives_ids
         self.turn = 0
         self.earlier: list[bytes] = []
+        self.open: set[MiddleNear] = set()
         loop.listeners[("10.0.0.1", 80)] = lambda: MiddleNear(self)
 
     def next(self) -> Meddle:
@@ -308,12 +309,14 @@
         self.middle = middle
         self.far = MiddleFar(self)
         self.transport: Any = None
+        middle.open.add(self)
         connect(self.far, middle.loop.listeners[("10.0.0.9", 80)]())
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = transport
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.middle.open.discard(self)
         self.far.transport.abort()
 
     def data_received(self, data: bytes) -> None:
@@ -435,11 +438,12 @@
 
     async def main() -> None:
         await JsonServer(handle).listen("10.0.0.9", 80)
-        Middle(loop, script, gives_ids)
+        middle = Middle(loop, script, gives_ids)
         client = JsonClient()
         await asyncio.gather(*(one_line(client, n, line) for n, line in enumerate(lines)))
         await asyncio.sleep(1.0)
         assert max(runs.values(), default=0) <= 1, runs
+        assert len(middle.open) <= 2  # one for the path whose calls are interchangeable, one for all others
 
     virtual.run(main, loop)
 
