An early answer with the request's id is its answer, not a proof that nothing ran

Cause: a server may answer before it has read a long body. Any such answer without Not-Run was taken as 'has not run', and an unrepeatable request went on to another server.

Change: with the request's id it is the answer, and its connection ends with what is still unwritten, so that nothing else comes where the rest of the body is due. Without any id it still answers something else.

--- a/otterreach/proxy/exchange.py
+++ b/otterreach/proxy/exchange.py
@@ -234,8 +234,9 @@
         assert connection
         body, status, headers = b"".join(self._pieces), response.status, response.headers
         not_run = b"not-run" in headers or status == HTTPStatus.MISDIRECTED_REQUEST
-        if connection.unwritten and not not_run:
-            # Danger: a server starts with the last byte. What comes before it answers something else.
+        if connection.unwritten and not not_run and b"request-id" not in headers:
+            # Danger: a server may answer before it has read a long body, and its answer bears the request's id. One
+            # without any is of the connection: it has not got the request.
             self._end(Outcome(Fate.NOT_RUN, "early_answer", sent=True))
             return
         # Danger: a second copy of a failure would pass for the answer to the next attempt, which has the same id.
--- a/tests/test_proxy_sockets.py
+++ b/tests/test_proxy_sockets.py
@@ -5,10 +5,11 @@
 import asyncio
 import socket
 import unittest
+from contextlib import suppress
 from typing import Any
 
 from otterreach.proxy.config import Caps
-from otterreach.proxy.exchange import Exchange, Fate, Outbound
+from otterreach.proxy.exchange import Exchange, Fate, Outbound, Outcome
 from otterreach.proxy.ingress import Client, Ingress
 from otterreach.proxy.pools import Pool
 from tests.proxy_support import SEAL
@@ -77,6 +78,44 @@
             outcome = await self.exchange(pool, outbound(b"x" * 32_000_000), 0.1).run()
         self.assertEqual((outcome.fate, outcome.timed_out), (Fate.NOT_RUN, True))
 
+    async def early(self, head: bytes) -> tuple[Outcome, Pool, bytes]:
+        """The outcome at a server that answers before it has read the body, and all that it ever reads."""
+        got = bytearray()
+        ended = asyncio.Event()
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            got.extend(await reader.read(1000))
+            writer.write(head + b"Content-Length: 2\r\n\r\nhi")
+            with suppress(ConnectionError):
+                while data := await reader.read(1 << 20):
+                    got.extend(data)
+            writer.close()
+            ended.set()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0, limit=4096)
+        self.addCleanup(server.close)
+        pool = Pool(asyncio.get_running_loop(), server.sockets[0].getsockname())
+        outcome = await self.exchange(pool, outbound(b"x" * 64_000_000)).run()
+        await ended.wait()
+        return outcome, pool, bytes(got)
+
+    async def test_an_early_answer_with_the_request_s_id_is_its_answer_and_ends_the_connection(self) -> None:
+        """Danger: only Not-Run says that it has not run; and no other bytes may come where its body is due."""
+        outcome, pool, got = await self.early(b"HTTP/1.1 500 X\r\nRequest-Id: q\r\n")
+        self.assertEqual((outcome.fate, outcome.status, outcome.body), (Fate.ANSWERED, 500, b"hi"))
+        self.assertEqual((pool.idle, pool.connections), ([], set()))
+        head, _, body = got.partition(b"\r\n\r\n")
+        self.assertEqual((head.count(b"HTTP/1.1"), set(body)), (1, set(b"x")))
+        self.assertLess(len(body), 64_000_000)
+
+    async def test_an_early_answer_that_says_so_has_not_run(self) -> None:
+        outcome, pool, _ = await self.early(b"HTTP/1.1 503 X\r\nRequest-Id: q\r\nNot-Run: 1\r\n")
+        self.assertEqual((outcome.fate, outcome.status, pool.idle), (Fate.NOT_RUN, 503, []))
+
+    async def test_an_early_answer_without_an_id_answers_something_else(self) -> None:
+        outcome, pool, _ = await self.early(b"HTTP/1.1 408 X\r\n")
+        self.assertEqual((outcome.fate, outcome.reason, pool.idle), (Fate.NOT_RUN, "early_answer", []))
+
     async def test_an_idle_connection_that_the_server_has_ended_is_not_used(self) -> None:
         _, address, got = await self.serve(
             b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n" + SEAL + b"Content-Length: 0\r\n\r\n", close=True
