--- a/otterreach/proxy/batch_jobs.py
+++ b/otterreach/proxy/batch_jobs.py
@@ -55,7 +55,8 @@
             return
         ask = Submit(job, text(request.headers.get(b"host")), route.name, request.body)
         asked = whole_number(request.headers.get(b"deadline-ms"))
-        within = max(SUBMIT_S, route.target_s) if asked is None else min(asked / 1000, max(SUBMIT_S, route.target_s))
+        within = min(route.timeout_s, max(SUBMIT_S, route.target_s))
+        within = within if asked is None else min(within, asked / 1000)
         # Danger: a retry after an unclear call is safe, for one id is one batch job; a refusal after one is not.
         reply = await self.directory.ask(job, ask, within, CALL_S + len(request.body) / 20e6)
         if not isinstance(reply, Failure):
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -205,6 +205,17 @@
             with self.subTest(answers=answers[:2]):
                 self.assertEqual(virtual.run(main), status)
 
+    @played
+    async def test_a_submission_is_held_no_longer_than_its_route_allows(self: Any) -> None:
+        calls = Calls()
+        raw = dict(calls.world.store.get("config")["routes"][0])
+        calls.world.configure([raw | {"timeoutMs": 200}])
+        calls.tell(Submit, *[Failure(Code.NOT_PRIMARY, "")] * 100)
+        began = calls.world.loop.time()
+        status, _ = await calls.ask("POST", "/l/7", body=b'{"reqs":[]}')
+        self.assertEqual(status, 503)
+        self.assertLess(calls.world.loop.time() - began, 0.2 + 0.25)
+
     @played
     async def test_submitted_as_it_came(self: Any) -> None:
         calls = Calls()
