A client's time counts from the first byte of its request

Cause: Deadline-Ms was counted from the last byte, so that a server was handed the time that a long body had taken. The route's timeoutMs counts from the whole request as before.

Result: test_proxy_requests, two tests, one fails on the code before.

--- a/otterreach/proxy/ingress.py
+++ b/otterreach/proxy/ingress.py
@@ -45,7 +45,7 @@
             caps.body_bytes, caps.header_bytes, SINGLE, True, int(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         )
         self._parser = http1.RequestParser(bounds=bounds)
-        self._queue: deque[tuple[http1.Request, float]] = deque()  # with when it came
+        self._queue: deque[tuple[http1.Request, float, float]] = deque()  # with when it began to come, and when whole
         self._task: asyncio.Task[None] | None = None
         self._closing = False  # nothing more is read
         self._open = False  # an answer has begun and not ended
@@ -53,7 +53,8 @@
         self._loop = asyncio.get_running_loop()
         self._since = self._loop.time()  # of the present quiet or partial request
         self._unread_since = 0.0
-        self.came_at = 0.0  # when the request that is worked on was read
+        self.begun_at = 0.0  # when the request that is worked on began to come
+        self.came_at = 0.0  # when it was whole
 
     @property
     def gone(self) -> bool:
@@ -88,10 +89,9 @@
         now = self._loop.time()
         if not self._parser.partial:
             self._since = now
-        whole = self._parser.feed(data)
-        if whole:
+        for request in self._parser.feed(data):
+            self._queue.append((request, self._since, now))
             self._since = now
-        self._queue.extend((request, now) for request in whole)
         if self._parser.wants_continue and self._transport and not self._task:
             self._parser.wants_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -109,7 +109,7 @@
             if self._parser.error:
                 self._reject(int(self._parser.error))
             return
-        self._request, self.came_at = self._queue.popleft()
+        self._request, self.begun_at, self.came_at = self._queue.popleft()
         if len(self._queue) <= MOST_PIPELINED:
             self._transport.resume_reading()
         self._task = self._loop.create_task(self._work(self._request))
--- a/otterreach/proxy/requests.py
+++ b/otterreach/proxy/requests.py
@@ -82,10 +82,11 @@
         self.fleet, self.age_s = fleet, age_s
         self.loop = fleet.loop
 
-    def deadline_of(self, request: http1.Request, route: Route, came_at: float) -> float:
+    def deadline_of(self, request: http1.Request, route: Route, client: Client) -> float:
+        """The client's time counts from its first byte: a long body takes its part of it."""
+        held = client.came_at + route.timeout_s
         asked = whole_number(request.headers.get(b"deadline-ms"))
-        left = route.timeout_s if asked is None else min(route.timeout_s, asked / 1000)
-        return came_at + left
+        return held if asked is None else min(held, client.begun_at + asked / 1000)
 
     def no_route(self, client: Client) -> None:
         """404 only where the copy is sure to be new enough."""
@@ -96,7 +97,7 @@
 
     def accept(self, request: http1.Request, client: Client, route: Route) -> Try:
         host, path = text(request.headers.get(b"host")), path_of(request)
-        deadline = self.deadline_of(request, route, client.came_at)
+        deadline = self.deadline_of(request, route, client)
         return Try(request, client, host, path, outbound_of(request), deadline, route.repeatable)
 
     async def handle(self, request: http1.Request, client: Client, route: Route) -> None:
--- a/tests/test_proxy_requests.py
+++ b/tests/test_proxy_requests.py
@@ -27,6 +27,8 @@
     turn_away,
 )
 
+HEAD = b"POST /a/x HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: q1\r\n"
+
 
 def ingress(world: World, age_s: float = 0.0) -> Ingress:
     requests = Requests(world.fleet, lambda: age_s)
@@ -75,6 +77,32 @@
         self.assertEqual((call.header(b"x-mine"), call.header(b"x-hop")), ("1", None))
         self.assertTrue(1400 < int(call.header(b"deadline-ms") or 0) <= 1500)
 
+    @played
+    async def test_the_time_that_a_body_took_is_the_client_s(self) -> None:
+        """A server must not be handed more time than is left."""
+        world = World([route()])
+        server = world.server("i-1", serve)
+        caller = Caller(ingress(world))
+        whole = HEAD + b"Deadline-Ms: 1500\r\nContent-Length: 4\r\n\r\nbody"
+        caller.transport.write(whole[:-2])
+        await asyncio.sleep(0.9)
+        caller.transport.write(whole[-2:])
+        self.assertEqual((await caller.next()).status, 200)
+        self.assertLessEqual(int(server.calls[0].header(b"deadline-ms") or 0), 600)
+
+    @played
+    async def test_the_route_s_time_counts_from_the_whole_request(self) -> None:
+        world = World([route(timeoutMs=300)])
+        world.server("i-1", silence)
+        caller = Caller(ingress(world))
+        whole = HEAD + b"Content-Length: 4\r\n\r\nbody"
+        caller.transport.write(whole[:-2])
+        await asyncio.sleep(0.9)
+        caller.transport.write(whole[-2:])
+        began = world.loop.time()
+        self.assertEqual((await caller.next()).status, 504)
+        self.assertAlmostEqual(world.loop.time() - began, 0.3, delta=0.05)
+
     @played
     async def test_a_retry_goes_by_the_newest_configuration(self) -> None:
         world = World([route(backend="one")])
