Batch jobs and exit codes by their names in load test, proxy and command line

Cause: `Lot`, `Lots`, `Desk`, `note` stood in code that speaks of batch jobs, exit codes and records. Change: BatchJob, BatchJobs, ExitCode, record. Paths on the wire (/lots/) and names in stored state stay. Measured: test_cli, test_loadtest_checks, test_loadtest_engine, test_proxy_parts, test_operations: 114 passed.

--- a/otterreach/cli/__main__.py
+++ b/otterreach/cli/__main__.py
@@ -15,7 +15,7 @@
 
 from cyclopts import App, Parameter
 
-from otterreach.cli.codes import FAULT, Desk
+from otterreach.cli.codes import FAULT, ExitCode
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.settings import VARIABLE
 from otterreach.runtime.store import ReplicatedStore
@@ -113,7 +113,7 @@
 
     Parameters
     ----------
-    role: proxy, controller or store_node.
+    role: proxy, controller or jobstore.
     settings: the settings file; else the one that the environment names.
     """
     import runpy
@@ -184,7 +184,7 @@
     if item:
         value = data.state_in(found).get(item)
         print("null" if value is None else json.dumps(value, indent=1))
-        return 0 if value is not None else int(Desk.NOT_THERE)
+        return 0 if value is not None else int(ExitCode.NOT_THERE)
     of = data.kind_of_file(file, found)
     for entry in data.walk(found):
         print(data.line(of, entry))
@@ -202,7 +202,7 @@
         return fail(current)
     if current is None:
         print("no configuration has been taken yet", file=sys.stderr)
-        return int(Desk.NOT_THERE)
+        return int(ExitCode.NOT_THERE)
     print(json.dumps(current, indent=1))
     return 0
 
@@ -258,7 +258,7 @@
         return fail(Failure(Code.CONFIG_UNREADABLE, f"{file}: {error}"))
     found = list(difflib.unified_diff(lines_of(current), lines_of(new), "in force", str(file), lineterm=""))
     print("\n".join(found) if found else "no difference")
-    return int(Desk.DIFFERENT) if found else 0
+    return int(ExitCode.DIFFERENT) if found else 0
 
 
 # The state of the system ------------------------------------------------------------------------------
@@ -319,7 +319,7 @@
 
 @app.command
 def jobs(*ids: str, data: Path | None = None, where: Where = HERE) -> int:
-    """Batch jobs by their ids, asked of who owns them; or with --data all that are in an store_node's data file."""
+    """Batch jobs by their ids, asked of who owns them; or with --data all that are in a job store node's data file."""
     from otterreach.cli import state
 
     if data:
--- a/otterreach/cli/codes.py
+++ b/otterreach/cli/codes.py
@@ -7,7 +7,7 @@
 FAULT = 1  # of this program or its arguments
 
 
-class Desk(IntEnum):
+class ExitCode(IntEnum):
     """Each number keeps its meaning for ever; the comment is what it means."""
 
     DATA_TORN = 70  # the end of a data file is not whole: normal after a loss of power
--- a/otterreach/cli/data.py
+++ b/otterreach/cli/data.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from otterreach.cli.codes import Desk
+from otterreach.cli.codes import ExitCode
 from otterreach.controller import messages as controller_messages  # noqa: F401  registers what the records hold
 from otterreach.controller import replica_state
 from otterreach.jobstore.jobs import Job, Kind
@@ -74,15 +74,15 @@
     try:
         data = path.read_bytes()
     except OSError as error:
-        return Verdict(Desk.DATA_MISSING, f"{path}: {error.strerror}")
+        return Verdict(ExitCode.DATA_MISSING, f"{path}: {error.strerror}")
     try:
         records, end = scan(data)
     except JournalDamaged as error:
         count = sum(1 for _ in walk(data))
-        return Verdict(Desk.DATA_DAMAGED, f"{path}: damaged: {error}", count)
+        return Verdict(ExitCode.DATA_DAMAGED, f"{path}: damaged: {error}", count)
     if end < len(data):
         text = f"{path}: {len(records)} records, then a torn end of {len(data) - end} bytes at byte {end}"
-        return Verdict(Desk.DATA_TORN, text, len(records))
+        return Verdict(ExitCode.DATA_TORN, text, len(records))
     return Verdict(0, f"{path}: {len(records)} records, {end} bytes, all whole", len(records))
 
 
@@ -163,7 +163,7 @@
 
 
 def jobs_in(data: bytes) -> list[tuple[int, Job]]:
-    """(partition, batch job) of all copies in an store_node's journal."""
+    """(partition, batch job) of all copies in a job store node's journal."""
     copies = [Copy(part, _NoJournal(), lambda: 0.0) for part in range(PARTITIONS)]
     for entry in walk(data):
         if entry.kind != Mark.DISK and (part := part_in(entry.kind, entry.payload)) < PARTITIONS:
--- a/otterreach/cli/state.py
+++ b/otterreach/cli/state.py
@@ -46,25 +46,25 @@
 async def watch(controllers: Sequence[str], kind: str, show: Callable[[Item], None]) -> Failure:
     """Tell each change of one kind of items (all if empty) until the controller falls silent or leaves."""
     endpoint, store = Endpoint(), ReplicatedStore()
-    heard = asyncio.Event()
+    changed = asyncio.Event()
 
-    async def changed(link: Link, changes: Changes) -> None:
-        heard.set()
+    async def on_changes(link: Link, changes: Changes) -> None:
+        changed.set()
         for item in store.apply(changes.items):
             if not kind or item.key.partition("/")[0] == kind:
                 show(item)
 
-    endpoint.on(Changes, changed)
+    endpoint.on(Changes, on_changes)
     try:
         found = await fetch(endpoint, controllers, store)
         if isinstance(found, Failure):
             return found
         while (link := endpoint.linked(found)) is not None:
-            heard.clear()
+            changed.clear()
             link.send(StillThere(int(asyncio.get_running_loop().time() * 1000)))
             try:
                 async with asyncio.timeout(CALL_S):
-                    await heard.wait()
+                    await changed.wait()
             except TimeoutError:
                 return Failure(Code.TIMED_OUT, f"{found} says nothing any more")
             await asyncio.sleep(ASK_S)
@@ -74,7 +74,7 @@
 
 
 async def job(controllers: Sequence[str], ident: str) -> Row | Failure:
-    """A batch job by its id, asked of the store_node that owns it: id, partition, owner, listed, total."""
+    """A batch job by its id, asked of the job store node that owns it: id, partition, owner, listed, total."""
     endpoint, store = Endpoint(), ReplicatedStore()
     try:
         found = await fetch(endpoint, controllers, store)
--- a/otterreach/loadtest/callers.py
+++ b/otterreach/loadtest/callers.py
@@ -32,7 +32,7 @@
     statuses: dict[str, int] = field(default_factory=dict)  # the last word where it was no success
     by_second: dict[int, list[int]] = field(default_factory=dict)
 
-    def note(self, second: int, took_s: float, target_s: float, word: str) -> None:
+    def record(self, second: int, took_s: float, target_s: float, word: str) -> None:
         """One request is over; `word`: nothing for a success."""
         self.asked += 1
         row = self.by_second.setdefault(second, [0, 0])
@@ -89,7 +89,7 @@
                 break
             await asyncio.sleep(min(self._pause(answer), max(0.0, (end - scene.now()) / 3)))
         second = int(begun - self.started_at)
-        self.tally.note(second, scene.now() - begun, self.route.target_ms / 1000, word)
+        self.tally.record(second, scene.now() - begun, self.route.target_ms / 1000, word)
 
     def _pause(self, answer: http1.Response | Failure) -> float:
         told = b"" if isinstance(answer, Failure) else answer.headers.get(b"retry-after", b"")
--- a/otterreach/loadtest/play.py
+++ b/otterreach/loadtest/play.py
@@ -19,7 +19,7 @@
 from otterreach.loadtest.scene import Entry, Front, Scene
 from otterreach.loadtest.server import Server
 from otterreach.loadtest.trainer import TrainerPart
-from otterreach.loadtest.verify import check_lot, check_mutating, check_orders, check_runs
+from otterreach.loadtest.verify import check_job, check_mutating, check_orders, check_runs
 
 SERVERS_NET = 100  # third part of the addresses of servers, and more for each service
 START_S = 30.0
@@ -185,13 +185,13 @@
         faults, scene = self.played.faults, self.scene
         if fault := await self.operator.read_back():
             faults.append(fault)
-        lots = [lot for part in self.played.trainers for lot in part.lots]
+        jobs = [job for part in self.played.trainers for job in part.jobs]
         for trainer in self.played.trainers:
-            await asyncio.gather(*(trainer.read_all(lot, KEPT_S) for lot in trainer.lots if lot.accepted_at))
-        for lot in lots:
-            faults += check_lot(lot, self.plan, scene.ledger)
+            await asyncio.gather(*(trainer.read_all(job, KEPT_S) for job in trainer.jobs if job.accepted_at))
+        for job in jobs:
+            faults += check_job(job, self.plan, scene.ledger)
         engines = {s.name for s in self.plan.service if s.kind == "engine"}
-        faults += check_runs(lots, engines, scene.ledger, scene.seconds("cancelMs"))
+        faults += check_runs(jobs, engines, scene.ledger, scene.seconds("cancelMs"))
         for part in self.played.callers:
             faults += check_mutating(part.sent, scene.ledger)
         faults += [*scene.ledger.after_leave, *check_orders(scene.ledger, scene.seconds("leaseMs"))]
@@ -202,10 +202,10 @@
             "runs at servers": len(ledger.ran),
             "turned away": ledger.turned_away,
             "orders taken": sum(order.status == 202 for order in ledger.orders),
-            "batch jobs": len(lots),
+            "batch jobs": len(jobs),
         }
         self.tell(
-            f"checked {len(lots)} batch jobs, {sum(len(lot.rows) for lot in lots)} results: "
+            f"checked {len(jobs)} batch jobs, {sum(len(job.rows) for job in jobs)} results: "
             f"{len(faults) or 'no'} faults"
         )
 
--- a/otterreach/loadtest/report.py
+++ b/otterreach/loadtest/report.py
@@ -22,18 +22,18 @@
 
 
 def _trainer(part: Any) -> dict[str, Any]:
-    lots = [lot for lot in part.lots if lot.accepted_at]
+    jobs = [job for job in part.jobs if job.accepted_at]
     limit = part.route.due_ms / 1000 + LATE
-    wanted = sum(lot.wanted for lot in part.lots)
+    wanted = sum(job.wanted for job in part.jobs)
     return {
-        "steps": len(part.lots),
-        "taken": len(lots),
-        "steps_whole": sum(lot.whole(limit) >= lot.wanted for lot in lots),
+        "steps": len(part.jobs),
+        "taken": len(jobs),
+        "steps_whole": sum(job.whole(limit) >= job.wanted for job in jobs),
         "groups_wanted": wanted,
-        "groups_in_time": sum(min(lot.wanted, lot.whole(limit)) for lot in lots),
+        "groups_in_time": sum(min(job.wanted, job.whole(limit)) for job in jobs),
         "groups": part.groups.points(),
         "accepts": part.accepts.points(),
-        "step_s": [round(max(lot.group_times.values(), default=0.0), 3) for lot in lots],
+        "step_s": [round(max(job.group_times.values(), default=0.0), 3) for job in jobs],
     }
 
 
--- a/otterreach/loadtest/trainer.py
+++ b/otterreach/loadtest/trainer.py
@@ -60,7 +60,7 @@
 
 
 @dataclass
-class Lot:
+class BatchJob:
     """A batch job as its trainer knows it. `rows` are the results by position."""
 
     id: str
@@ -137,7 +137,7 @@
     def __init__(self, scene: Scene, row: Trainer, started_at: float) -> None:
         self.scene, self.row, self.started_at = scene, row, started_at
         self.route, self.scorer = scene.plan.route_named(row.route), scene.plan.route_named(row.scorer)
-        self.lots: list[Lot] = []
+        self.jobs: list[BatchJob] = []
         self.groups, self.accepts = Latencies(), Latencies()
         self.steps = 0
         self._again: list[list[Item]] = []  # groups that weren't whole
@@ -147,14 +147,14 @@
         """Steps until the play stops; an open batch job is brought to its end."""
         while not self.scene.stopping:
             begun = self.scene.now()
-            lot = self._draw()
-            self.lots.append(lot)
-            await self._step(lot)
+            job = self._draw()
+            self.jobs.append(job)
+            await self._step(job)
             rest = begun + self.row.every_s - self.scene.now()
             if not self.scene.stopping and rest > 0:
                 await asyncio.sleep(rest)
 
-    def _draw(self) -> Lot:
+    def _draw(self) -> BatchJob:
         wanted = max(1, round(self.row.groups * self.row.desired))
         groups = [*self._again[: wanted // 2]]
         self._again = []
@@ -163,7 +163,7 @@
         items = {item.id: item for group in groups for item in group}
         version = max(1, self.scene.named(self.row.model) - self.row.lag)
         self.steps += 1
-        return Lot(self.scene.ident(), self.steps - 1, items, version, self.route, self.scene.now(), wanted)
+        return BatchJob(self.scene.ident(), self.steps - 1, items, version, self.route, self.scene.now(), wanted)
 
     def _group(self) -> list[Item]:
         self._count += 1
@@ -188,28 +188,28 @@
             never,
         )
 
-    async def _step(self, lot: Lot) -> None:
+    async def _step(self, job: BatchJob) -> None:
         scene = self.scene
-        if not await self._submit(lot):
-            scene.tell(f"batch job {lot.id}: not taken")
+        if not await self._submit(job):
+            scene.tell(f"batch job {job.id}: not taken")
             return
-        took = lot.accepted_at - lot.sent_at
+        took = job.accepted_at - job.sent_at
         self.accepts.add(took)
         scene.tell(
-            f"batch job {lot.id} (step {lot.step}): {len(lot.items)} items in {len(lot.groups)} groups, "
+            f"batch job {job.id} (step {job.step}): {len(job.items)} items in {len(job.groups)} groups, "
             f"taken after {took * 1000:.0f} ms"
         )
-        await self._read(lot)
-        await self._end(lot)
-        for took in lot.group_times.values():
+        await self._read(job)
+        await self._end(job)
+        for took in job.group_times.values():
             self.groups.add(took)
         scene.tell(
-            f"batch job {lot.id} (step {lot.step}): {lot.whole()} groups whole, {len(lot.rows)} of "
-            f"{len(lot.items)} results read after {scene.now() - lot.sent_at:.2f} s"
+            f"batch job {job.id} (step {job.step}): {job.whole()} groups whole, {len(job.rows)} of "
+            f"{len(job.items)} results read after {scene.now() - job.sent_at:.2f} s"
         )
-        groups = lot.groups
-        self._again = [[lot.items[i] for i in ids] for name, ids in groups.items() if name not in lot.group_times]
-        if lot.whole() >= lot.wanted and not scene.stopping:
+        groups = job.groups
+        self._again = [[job.items[i] for i in ids] for name, ids in groups.items() if name not in job.group_times]
+        if job.whole() >= job.wanted and not scene.stopping:
             await asyncio.sleep(self.row.train_s)
             await self._name_version()
 
@@ -219,76 +219,76 @@
         address = self.scene.entry.pick(self.scene.random.choice(self.scene.plan.zones), self.scene.ident())
         return await ask(address, method, path, body, headers, within_s, HOST)
 
-    async def _submit(self, lot: Lot) -> bool:
+    async def _submit(self, job: BatchJob) -> bool:
         """Sent again, at another sidecar, until it is taken."""
-        head = {"step": lot.step, "model": self.row.model, "minVersion": lot.min_version, "desired": lot.wanted}
-        reqs = [item.row(self.row.model) for item in lot.items.values()]
+        head = {"step": job.step, "model": self.row.model, "minVersion": job.min_version, "desired": job.wanted}
+        reqs = [item.row(self.row.model) for item in job.items.values()]
         body = json.dumps({**head, "reqs": reqs}).encode()
-        headers = {b"Request-Id": lot.id.encode(), b"Content-Type": b"application/json"}
-        while self.scene.now() < lot.sent_at + self.route.due_ms / 1000:
-            answer = await self._call("POST", f"{self.route.prefix}{lot.id[:6]}", body, headers, 1.5)
+        headers = {b"Request-Id": job.id.encode(), b"Content-Type": b"application/json"}
+        while self.scene.now() < job.sent_at + self.route.due_ms / 1000:
+            answer = await self._call("POST", f"{self.route.prefix}{job.id[:6]}", body, headers, 1.5)
             if isinstance(answer, Failure) or answer.status not in (202, 429, 503, 408, 421):
-                lot.maybe = True
+                job.maybe = True
             elif answer.status == 202:
-                lot.accepted_at = self.scene.now()
+                job.accepted_at = self.scene.now()
                 return True
             self.scene.counts["submit again"] += 1
             await asyncio.sleep(RETRY_S)
         return False
 
-    async def _read(self, lot: Lot) -> None:
+    async def _read(self, job: BatchJob) -> None:
         """Until enough groups are whole, or it is given up."""
-        end = lot.sent_at + GIVE_UP * self.route.due_ms / 1000
-        while lot.whole() < lot.wanted and self.scene.now() < end:
+        end = job.sent_at + GIVE_UP * self.route.due_ms / 1000
+        while job.whole() < job.wanted and self.scene.now() < end:
             behind = self.scene.random.random() < BACK
-            past = self.scene.random.randint(0, len(lot.rows)) if behind else len(lot.rows)
-            await self.read_once(lot, past, WAIT_MS)
+            past = self.scene.random.randint(0, len(job.rows)) if behind else len(job.rows)
+            await self.read_once(job, past, WAIT_MS)
             if self.scene.random.random() < BACK:
-                await self._body(lot)
+                await self._body(job)
             await asyncio.sleep(PAUSE_S)
 
-    async def read_once(self, lot: Lot, past: int, wait_ms: int = 0) -> int | None:
+    async def read_once(self, job: BatchJob, past: int, wait_ms: int = 0) -> int | None:
         """One read: the position after it, or None."""
         headers = {b"Wait-Ms": b"%d" % wait_ms} if wait_ms else {}
         within = wait_ms / 1000 + WAITS_LONGER_S
-        answer = await self._call("GET", f"/lots/{lot.id}?past={past}", b"", headers, within)
+        answer = await self._call("GET", f"/lots/{job.id}?past={past}", b"", headers, within)
         if isinstance(answer, Failure):
             return None
         if answer.status == 200:
-            return lot.take(past, answer.body, self.scene.now())
-        self._missing(lot, answer, f"read from {past}")
+            return job.take(past, answer.body, self.scene.now())
+        self._missing(job, answer, f"read from {past}")
         return None
 
-    def _missing(self, lot: Lot, answer: http1.Response, what: str) -> None:
-        settled = self.scene.now() > lot.accepted_at + self.scene.seconds("settleMs")
+    def _missing(self, job: BatchJob, answer: http1.Response, what: str) -> None:
+        settled = self.scene.now() > job.accepted_at + self.scene.seconds("settleMs")
         if answer.status != 503 and settled:
-            lot.faults.append(f"{what} was answered {answer.status}")
+            job.faults.append(f"{what} was answered {answer.status}")
 
-    async def _body(self, lot: Lot) -> None:
+    async def _body(self, job: BatchJob) -> None:
         """The body of an item that hasn't been seen listed."""
-        waiting = [item for item in lot.items.values() if item.id not in lot.listed]
+        waiting = [item for item in job.items.values() if item.id not in job.listed]
         if not waiting:
             return
         item = self.scene.random.choice(waiting)
-        answer = await self._call("GET", f"/items/{lot.id}?id={item.id}")
+        answer = await self._call("GET", f"/items/{job.id}?id={item.id}")
         if isinstance(answer, Failure):
             return
         if answer.status == 200 and answer.body != item.body:
-            lot.faults.append(f"the body of {item.id} comes back with other bytes")
+            job.faults.append(f"the body of {item.id} comes back with other bytes")
         elif answer.status != 200:
-            read = await self.read_once(lot, len(lot.rows))  # listed meanwhile, then
-            if read is not None and item.id not in lot.listed:
-                self._missing(lot, answer, f"the body of {item.id}")
+            read = await self.read_once(job, len(job.rows))  # listed meanwhile, then
+            if read is not None and item.id not in job.listed:
+                self._missing(job, answer, f"the body of {item.id}")
 
-    async def _end(self, lot: Lot) -> None:
-        lot.end_sent_at = self.scene.now()
+    async def _end(self, job: BatchJob) -> None:
+        job.end_sent_at = self.scene.now()
         for _ in range(40):
-            answer = await self._call("DELETE", f"/lots/{lot.id}")
+            answer = await self._call("DELETE", f"/lots/{job.id}")
             if not isinstance(answer, Failure) and answer.status == 200:
-                lot.ended_at = self.scene.now()
+                job.ended_at = self.scene.now()
                 return
             await asyncio.sleep(RETRY_S)
-        lot.faults.append("its end was never acknowledged")
+        job.faults.append("its end was never acknowledged")
 
     async def _name_version(self) -> None:
         """Servers may take the order from the first send on."""
@@ -301,15 +301,15 @@
         self.scene.counts["versions" if taken else "versions not noted"] += 1
         self.scene.tell(f"version {gen} of {self.row.model} named")
 
-    async def read_all(self, lot: Lot, within_s: float) -> None:
+    async def read_all(self, job: BatchJob, within_s: float) -> None:
         """After traffic: from the start, page by page, as far as results were ever listed."""
-        end, known, past = self.scene.now() + within_s, len(lot.rows), 0
+        end, known, past = self.scene.now() + within_s, len(job.rows), 0
         while self.scene.now() < end:
-            cursor = await self.read_once(lot, past)
+            cursor = await self.read_once(job, past)
             if cursor is None:
                 await asyncio.sleep(RETRY_S)
             elif cursor == past and past >= known:
                 return
             else:
                 past = cursor
-        lot.faults.append(f"it can't be read whole after the day: position {past} of {known}")
+        job.faults.append(f"it can't be read whole after the day: position {past} of {known}")
--- a/otterreach/loadtest/verify.py
+++ b/otterreach/loadtest/verify.py
@@ -8,7 +8,7 @@
 
 from otterreach.loadtest.ledger import Ledger, Line, Ordered, mark, read_line
 from otterreach.loadtest.plan import Plan
-from otterreach.loadtest.trainer import Item, Lot
+from otterreach.loadtest.trainer import BatchJob, Item
 
 SLACK_S = 0.1  # the books are kept in one process, and its turns take their time
 
@@ -38,13 +38,13 @@
     return ""
 
 
-def check_versions(lot: Lot, row: dict[str, Any], lines: list[Line]) -> str:
+def check_versions(job: BatchJob, row: dict[str, Any], lines: list[Line]) -> str:
     told, made = sorted(row.get("versions") or []), sorted({line.version for line in lines})
     if told != made:
         return f"versions {told}, and its events were made under {made}"
-    if made[0] < lot.min_version:
-        return f"version {made[0]}, and {lot.min_version} is the least"
-    return f"versions {made} in one text" if lot.route.single and len(made) > 1 else ""
+    if made[0] < job.min_version:
+        return f"version {made[0]}, and {job.min_version} is the least"
+    return f"versions {made} in one text" if job.route.single and len(made) > 1 else ""
 
 
 def check_score(item: Item, row: dict[str, Any], lines: list[Line], ledger: Ledger) -> str:
@@ -55,34 +55,34 @@
     return "its reward call came before its text was whole" if sealed.came_at < last_at - SLACK_S else ""
 
 
-def check_done(lot: Lot, item: Item, row: dict[str, Any], stride: int, ledger: Ledger) -> str:
+def check_done(job: BatchJob, item: Item, row: dict[str, Any], stride: int, ledger: Ledger) -> str:
     """What is wrong with a result that is `done`; nothing if all is right."""
     lines = check_text(item, str(row.get("text", "")), stride)
     if isinstance(lines, str):
         return lines
-    return check_joins(item, lines, ledger) or check_versions(lot, row, lines) or check_score(item, row, lines, ledger)
+    return check_joins(item, lines, ledger) or check_versions(job, row, lines) or check_score(item, row, lines, ledger)
 
 
-def check_errored(lot: Lot, item: Item, ledger: Ledger) -> str:
+def check_errored(job: BatchJob, item: Item, ledger: Ledger) -> str:
     """Whether there is one of the reasons that allow it."""
     failures = max(ledger.failures[item.id], ledger.failures[item.scorer])
-    reason = item.id in ledger.never or failures >= lot.route.tries or lot.end_sent_at > 0
+    reason = item.id in ledger.never or failures >= job.route.tries or job.end_sent_at > 0
     return "" if reason else f"errored after {failures} failures"
 
 
-def check_lot(lot: Lot, plan: Plan, ledger: Ledger) -> list[str]:
+def check_job(job: BatchJob, plan: Plan, ledger: Ledger) -> list[str]:
     """All that is wrong with a batch job."""
-    stride = plan.service_named(lot.route.service).stride
-    faults = list(lot.faults)
-    for row in lot.rows:
-        item = lot.items[row["id"]]
+    stride = plan.service_named(job.route.service).stride
+    faults = list(job.faults)
+    for row in job.rows:
+        item = job.items[row["id"]]
         if row.get("state") == "done":
-            fault = check_done(lot, item, row, stride, ledger)
+            fault = check_done(job, item, row, stride, ledger)
         else:
-            fault = check_errored(lot, item, ledger)
+            fault = check_errored(job, item, ledger)
         if fault:
             faults.append(f"{item.id}: {fault}")
-    return [f"batch job {lot.id}: {fault}" for fault in faults]
+    return [f"batch job {job.id}: {fault}" for fault in faults]
 
 
 def check_mutating(sent: dict[str, bool], ledger: Ledger) -> Iterator[str]:
@@ -111,20 +111,20 @@
             yield f"{before.owner} and {order.owner} ordered {order.server} within {order.at - before.at:.1f} s"
 
 
-def _spans(lots: Iterable[Lot], cancel_s: float) -> dict[str, list[float]]:
+def _spans(jobs: Iterable[BatchJob], cancel_s: float) -> dict[str, list[float]]:
     """By the id of an item or reward call: until when each batch job that holds it allows it to run."""
     spans: dict[str, list[float]] = {}
-    for lot in lots:
-        until = lot.ended_at + cancel_s if lot.ended_at else float("inf")
-        for item in lot.items.values():
+    for job in jobs:
+        until = job.ended_at + cancel_s if job.ended_at else float("inf")
+        for item in job.items.values():
             for ident in (item.id, item.scorer):
-                spans.setdefault(ident, []).append(-1.0 if lot.refused else until)
+                spans.setdefault(ident, []).append(-1.0 if job.refused else until)
     return spans
 
 
-def check_runs(lots: list[Lot], rollout: set[str], ledger: Ledger, cancel_s: float) -> Iterator[str]:
+def check_runs(jobs: list[BatchJob], rollout: set[str], ledger: Ledger, cancel_s: float) -> Iterator[str]:
     """Nothing runs that nobody sent, that was refused, or long after its end. `rollout`: services of batch jobs."""
-    spans = _spans(lots, cancel_s)
+    spans = _spans(jobs, cancel_s)
     for ran in ledger.ran:
         allowed = spans.get(ran.request)
         if allowed is None:
--- a/otterreach/proxy/batch_jobs.py
+++ b/otterreach/proxy/batch_jobs.py
@@ -1,4 +1,4 @@
-"""Batch jobs for clients: taken, read, ended. They belong to the store_nodes; here is only the way to them.
+"""Batch jobs for clients: taken, read, ended. They belong to the job store nodes; here is only the way to them.
 
 Danger: 429 and 503 to a submission promise that none of it runs. They are given only if every call surely was not
 taken.
@@ -18,7 +18,7 @@
 from otterreach.runtime.rpc import Done
 from otterreach.sidecar import http1
 
-LOTS, ITEMS = "/lots/", "/items/"
+JOB_PATH, ITEM_PATH = "/lots/", "/items/"
 SUBMIT_S = 0.8  # to try for, where neither the client nor the route says less
 READ_S = 0.5
 CALL_S = 0.8
@@ -27,12 +27,12 @@
 JSON = {b"content-type": b"application/json"}
 
 
-def is_lots_call(request: http1.Request) -> bool:
+def is_batch_job_call(request: http1.Request) -> bool:
     path = path_of(request)
-    return path.startswith((LOTS, ITEMS)) and request.method in (b"GET", b"DELETE")
+    return path.startswith((JOB_PATH, ITEM_PATH)) and request.method in (b"GET", b"DELETE")
 
 
-class Lots:
+class BatchJobs:
     """One handler for the resource and all its calls."""
 
     def __init__(self, directory: JobStoreDirectory) -> None:
@@ -41,12 +41,12 @@
     async def handle(self, request: http1.Request, client: Client) -> None:
         """GET and DELETE under /lots/ and /items/."""
         path = path_of(request)
-        if path.startswith(ITEMS):
-            await self._item(request, client, unquote(path[len(ITEMS) :]))
+        if path.startswith(ITEM_PATH):
+            await self._item(request, client, unquote(path[len(ITEM_PATH) :]))
         elif request.method == b"DELETE":
-            await self._end(client, unquote(path[len(LOTS) :]))
+            await self._end(client, unquote(path[len(JOB_PATH) :]))
         else:
-            await self._read(request, client, unquote(path[len(LOTS) :]))
+            await self._read(request, client, unquote(path[len(JOB_PATH) :]))
 
     async def submit(self, request: http1.Request, client: Client, route: Route) -> None:
         job = text(request.headers.get(b"request-id"))
@@ -100,7 +100,7 @@
             self._missing(reply, client)
 
     def _missing(self, reply: object, client: Client) -> None:
-        """404 only on the word of the store_node that serves the batch job; in doubt 503."""
+        """404 only on the word of the job store node that serves the batch job; in doubt 503."""
         gone = isinstance(reply, Failure) and reply.code in (Code.UNKNOWN_JOB, Code.UNKNOWN_ITEM, Code.JOB_ENDED)
         if gone:
             client.respond(HTTPStatus.NOT_FOUND)
--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -7,7 +7,7 @@
 from http import HTTPStatus
 from random import Random
 
-from otterreach.proxy.batch_jobs import Lots, is_lots_call
+from otterreach.proxy.batch_jobs import BatchJobs, is_batch_job_call
 from otterreach.proxy.config import ROLLOUT, STREAM
 from otterreach.proxy.fleet import Fleet
 from otterreach.proxy.ingress import Client, Ingress
@@ -42,7 +42,7 @@
         self.requests = Requests(self.fleet, node.follower.age_s)
         self.streams = Streams(self.requests)
         self.runner = Runner(self.fleet, node.endpoint, node.settings)
-        self.lots = Lots(self.runner.directory)
+        self.batch_jobs = BatchJobs(self.runner.directory)
         self.orders = Orders(node, JsonClient())
         self.ingress = Ingress(self.handle, lambda: self.fleet.config.caps)
         self.probes = JsonServer(self._probe)
@@ -57,12 +57,12 @@
             await self._first_configuration(request, client)
         route = self.fleet.config.route(text(request.headers.get(b"host")), path_of(request))
         if route is None:
-            if is_lots_call(request):
-                await self.lots.handle(request, client)
+            if is_batch_job_call(request):
+                await self.batch_jobs.handle(request, client)
             else:
                 self.requests.no_route(client)
         elif route.kind == ROLLOUT:
-            await self.lots.submit(request, client, route)
+            await self.batch_jobs.submit(request, client, route)
         elif route.kind == STREAM:
             await self.streams.handle(request, client, route)
         else:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -18,7 +18,7 @@
 from otterreach.cli import data, state
 from otterreach.cli.__main__ import main
 from otterreach.cli.caller import Caller, error_of
-from otterreach.cli.codes import Desk
+from otterreach.cli.codes import ExitCode
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
 from otterreach.controller.messages import Accept, AppendItems, InstallSnapshot
 from otterreach.jobstore.jobs import end_record, result_record, submit_record
@@ -192,7 +192,7 @@
 
     def test_torn(self) -> None:
         name = self.file("control.journal", self.packed(self.control())[:-1])
-        self.assertEqual(self.run_it("verify", name), Desk.DATA_TORN)
+        self.assertEqual(self.run_it("verify", name), ExitCode.DATA_TORN)
         self.assertIn("torn end", self.errors)
 
     def test_damaged_at_each_byte_of_a_record(self) -> None:
@@ -202,12 +202,12 @@
             broken = bytearray(whole)
             broken[at] ^= 0x41
             verdict = data.verify(Path(self.file("control.journal", bytes(broken))))
-            self.assertEqual(verdict.code, Desk.DATA_DAMAGED, at)
+            self.assertEqual(verdict.code, ExitCode.DATA_DAMAGED, at)
             self.assertEqual(verdict.records, 2)
 
     def test_missing(self) -> None:
-        self.assertEqual(self.run_it("verify", "/nowhere"), Desk.DATA_MISSING)
-        self.assertEqual(self.run_it("read-data", "/nowhere"), Desk.DATA_MISSING)
+        self.assertEqual(self.run_it("verify", "/nowhere"), ExitCode.DATA_MISSING)
+        self.assertEqual(self.run_it("read-data", "/nowhere"), ExitCode.DATA_MISSING)
 
     def test_read_a_registrars(self) -> None:
         self.assertEqual(self.run_it("read-data", self.file("control.journal", self.packed(self.control()))), 0)
@@ -220,7 +220,7 @@
         name = self.file("odd-name", self.packed(self.control()))
         self.assertEqual(self.run_it("read-data", name, "--item", "config"), 0)
         self.assertEqual(json.loads(self.out), {"gen": 6})
-        self.assertEqual(self.run_it("read-data", name, "--item", "server/i"), Desk.NOT_THERE)
+        self.assertEqual(self.run_it("read-data", name, "--item", "server/i"), ExitCode.NOT_THERE)
 
     def test_read_an_archivists(self) -> None:
         name = self.file("jobs.journal", self.jobs())
@@ -257,7 +257,7 @@
             self.assertEqual(self.run_it("get", "--ctl", "a:1"), 0)
         self.assertEqual(json.loads(self.out), {"gen": 5})
         with self.answering(response(404)):
-            self.assertEqual(self.run_it("get", "--ctl", "a:1"), Desk.NOT_THERE)
+            self.assertEqual(self.run_it("get", "--ctl", "a:1"), ExitCode.NOT_THERE)
         with self.answering(Failure(Code.UNREACHABLE, "no")):
             self.assertEqual(self.run_it("get", "--ctl", "a:1"), 10)
 
@@ -281,7 +281,7 @@
         with self.answering(response(200, b'{"gen":5,"caps":{}}')):
             self.assertEqual(self.run_it("diff", self.file("a", {"caps": {}, "gen": 5}), "--ctl", "a:1"), 0)
         with self.answering(response(200, b'{"gen":5}')):
-            self.assertEqual(self.run_it("diff", self.file("b", {"gen": 6}), "--ctl", "a:1"), Desk.DIFFERENT)
+            self.assertEqual(self.run_it("diff", self.file("b", {"gen": 6}), "--ctl", "a:1"), ExitCode.DIFFERENT)
         self.assertIn('+ "gen": 6', self.out)
 
     def test_retire_until_done(self) -> None:
@@ -393,5 +393,5 @@
 class CodesTest(unittest.TestCase):
     def test_no_number_stands_for_two_things(self) -> None:
         taken = {code.value for code in codes.Code} | {1}
-        self.assertFalse(taken & {code.value for code in Desk})
-        self.assertLess(max(Desk), 126)  # an exit code of its own
+        self.assertFalse(taken & {code.value for code in ExitCode})
+        self.assertLess(max(ExitCode), 126)  # an exit code of its own
--- a/tests/test_loadtest_checks.py
+++ b/tests/test_loadtest_checks.py
@@ -23,7 +23,7 @@
 from otterreach.loadtest.play import Played
 from otterreach.loadtest.scene import Entry, Front, Scene
 from otterreach.loadtest.server import EngineServer, PlainServer, read_ask
-from otterreach.loadtest.trainer import Lot, TrainerPart
+from otterreach.loadtest.trainer import BatchJob, TrainerPart
 from otterreach.runtime import settings as settings_module
 from otterreach.runtime.codes import Code, Failure
 from otterreach.sidecar import http1
@@ -54,27 +54,27 @@
         self.scene = scene()
         self.plan = self.scene.plan
         part = TrainerPart(self.scene, self.plan.trainer[0], 0.0)
-        self.lot = part._draw()
-        self.lot.accepted_at = 1.0
+        self.job = part._draw()
+        self.job.accepted_at = 1.0
         self.ledger = Ledger()
-        for n, ident in enumerate(self.lot.items):
+        for n, ident in enumerate(self.job.items):
             self.serve(ident, f"s.{n}")
 
     def serve(self, ident: str, run: str, version: int = 1) -> None:
-        item = self.lot.items[ident]
+        item = self.job.items[ident]
         self.ledger.runs[run] = Made(ident, 0, "reader", 2.0)
         self.ledger.ran += [Ran(ident, "reader", 1.5), Ran(item.scorer, "marker", 2.1)]
         self.ledger.seals[f"seal {ident}"] = Sealed(item.scorer, b"", 2.1)
         text = "\n".join(event_data(ident, n, version, run) for n in range(1, 11))
         row = {"id": ident, "state": "done", "text": text, "versions": [version], "score": f"seal {ident}"}
-        self.give(len(self.lot.rows), [row])
+        self.give(len(self.job.rows), [row])
 
     def give(self, past: int, rows: list[dict[str, Any]], **more: int) -> None:
-        answer = {"total": len(self.lot.items), "nextCursor": past + len(rows), "results": rows} | more
-        self.lot.take(past, json.dumps(answer).encode(), 3.0)
+        answer = {"total": len(self.job.items), "nextCursor": past + len(rows), "results": rows} | more
+        self.job.take(past, json.dumps(answer).encode(), 3.0)
 
     def faults(self) -> list[str]:
-        return verify.check_lot(self.lot, self.plan, self.ledger)
+        return verify.check_job(self.job, self.plan, self.ledger)
 
     def assert_fault(self, text: str) -> None:
         self.assertTrue(any(text in fault for fault in self.faults()), f"{text!r} not in {self.faults()}")
@@ -83,24 +83,24 @@
 class LotTest(LotCase):
     def test_right(self) -> None:
         self.assertEqual(self.faults(), [])
-        self.assertEqual(self.lot.whole(), len(self.lot.groups))
-        self.assertEqual(list(verify.check_runs([self.lot], {"reader"}, self.ledger, 3.0)), [])
+        self.assertEqual(self.job.whole(), len(self.job.groups))
+        self.assertEqual(list(verify.check_runs([self.job], {"reader"}, self.ledger, 3.0)), [])
 
     def test_read_again_from_the_start(self) -> None:
-        self.give(0, list(self.lot.rows))
+        self.give(0, list(self.job.rows))
         self.assertEqual(self.faults(), [])
 
     def test_missing_event(self) -> None:
-        row = self.lot.rows[0]
+        row = self.job.rows[0]
         row["text"] = row["text"].rpartition("\n")[0]
         self.assert_fault("9 events of 10")
 
     def test_another_items_text(self) -> None:
-        self.lot.rows[0]["text"] = self.lot.rows[1]["text"]
+        self.job.rows[0]["text"] = self.job.rows[1]["text"]
         self.assert_fault("is not the engine's")
 
     def test_pieces_of_two_runs(self) -> None:
-        row = self.lot.rows[0]
+        row = self.job.rows[0]
         lines = row["text"].split("\n")
         self.ledger.runs["other"] = Made(row["id"], 3, "reader", 2.0)
         lines[5:] = [event_data(row["id"], n, 1, "other") for n in range(6, 11)]
@@ -110,57 +110,57 @@
         self.assertEqual(self.faults(), [])
 
     def test_versions(self) -> None:
-        self.lot.rows[0]["versions"] = [2]
+        self.job.rows[0]["versions"] = [2]
         self.assert_fault("versions [2]")
 
     def test_too_old_a_version(self) -> None:
-        self.lot.min_version = 2
+        self.job.min_version = 2
         self.assert_fault("and 2 is the least")
 
     def test_another_score(self) -> None:
-        self.lot.rows[0]["score"] = self.lot.rows[1]["score"]
+        self.job.rows[0]["score"] = self.job.rows[1]["score"]
         self.assert_fault("is no stamp of its reward call")
 
     def test_score_before_the_text(self) -> None:
-        ident = self.lot.rows[0]["id"]
-        self.ledger.seals[f"seal {ident}"] = Sealed(self.lot.items[ident].scorer, b"", 1.0)
+        ident = self.job.rows[0]["id"]
+        self.ledger.seals[f"seal {ident}"] = Sealed(self.job.items[ident].scorer, b"", 1.0)
         self.assert_fault("before its text was whole")
 
     def test_errored_without_a_reason(self) -> None:
-        ident = self.lot.rows[0]["id"]
-        self.lot.rows[0] = {"id": ident, "state": "errored", "text": ""}
+        ident = self.job.rows[0]["id"]
+        self.job.rows[0] = {"id": ident, "state": "errored", "text": ""}
         self.assert_fault("errored after 0 failures")
         self.ledger.failures[ident] = 3
         self.assertEqual(self.faults(), [])
 
     def test_a_position_changes(self) -> None:
-        self.give(0, [self.lot.rows[1]])
+        self.give(0, [self.job.rows[1]])
         self.assert_fault("position 0 holds another result")
 
     def test_listed_twice_a_gap_a_stranger(self) -> None:
-        count = len(self.lot.rows)
-        self.give(count, [self.lot.rows[0]])
+        count = len(self.job.rows)
+        self.give(count, [self.job.rows[0]])
         self.assert_fault("is listed twice")
-        self.give(count + 5, [self.lot.rows[0]])
+        self.give(count + 5, [self.job.rows[0]])
         self.assert_fault("comes after")
-        self.give(len(self.lot.rows), [{"id": "stranger"}])
+        self.give(len(self.job.rows), [{"id": "stranger"}])
         self.assert_fault("stranger is no item of it")
 
     def test_total_and_cursor(self) -> None:
-        self.give(len(self.lot.rows), [], total=1)
+        self.give(len(self.job.rows), [], total=1)
         self.assert_fault("total 1")
-        self.assertIsNone(self.lot.take(0, b"nothing", 3.0))
+        self.assertIsNone(self.job.take(0, b"nothing", 3.0))
 
     def test_runs_late_refused_or_unasked(self) -> None:
         def found() -> list[str]:
-            return list(verify.check_runs([self.lot], {"reader"}, self.ledger, 3.0))
+            return list(verify.check_runs([self.job], {"reader"}, self.ledger, 3.0))
 
         self.ledger.ran.append(Ran("nobody", "reader", 5.0))
         self.assertIn("nobody sent it", found()[0])
-        self.ledger.ran[-1] = Ran(self.lot.rows[0]["id"], "reader", 9.0)
-        self.lot.ended_at = 5.0
+        self.ledger.ran[-1] = Ran(self.job.rows[0]["id"], "reader", 9.0)
+        self.job.ended_at = 5.0
         self.assertIn("refused or ended", found()[0])
-        self.lot.ended_at, self.lot.accepted_at = 0.0, 0.0
+        self.job.ended_at, self.job.accepted_at = 0.0, 0.0
         self.assertTrue(found())
 
     def test_orders_have_one_holder_and_a_fence_that_never_falls(self) -> None:
@@ -256,9 +256,9 @@
 
     def test_a_tally_counts_a_late_answer_as_served(self) -> None:
         tally = Tally("r")
-        tally.note(0, 0.1, 0.3, "")
-        tally.note(0, 0.5, 0.3, "")
-        tally.note(1, 0.5, 0.3, "503")
+        tally.record(0, 0.1, 0.3, "")
+        tally.record(0, 0.5, 0.3, "")
+        tally.record(1, 0.5, 0.3, "503")
         self.assertEqual((tally.asked, tally.served, tally.late, tally.statuses), (3, 2, 1, {"503": 1}))
         self.assertEqual(tally.by_second, {0: [2, 1], 1: [1, 0]})
 
@@ -266,7 +266,7 @@
         plan = ready_plan()
         place = scene(plan)
         part = TrainerPart(place, plan.trainer[0], 0.0)
-        part.lots.append(part._draw())
+        part.jobs.append(part._draw())
         played = Played(plan, 1.0, 2.0, ["<odd>"], [], [part], [], {})
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
@@ -363,7 +363,7 @@
     """A trainer against an answering system of one line, in virtual time."""
 
     def test_a_refused_batch_job_is_sent_again_and_an_unclear_try_is_remembered(self) -> None:
-        async def body() -> Lot:
+        async def body() -> BatchJob:
             loop = asyncio.get_running_loop()
             place = scene()
             place.now = loop.time
@@ -371,27 +371,27 @@
             refused, taken = http1.Response(503, {}, b"", False), http1.Response(202, {}, b"", False)
             answers = [refused, Failure(Code.CLOSED, "cut"), taken]
             with mock.patch("otterreach.loadtest.trainer.ask", side_effect=answers):
-                lot = part._draw()
-                self.assertTrue(await part._submit(lot))
-            return lot
+                job = part._draw()
+                self.assertTrue(await part._submit(job))
+            return job
 
-        lot = virtual.run(body)
-        self.assertTrue(lot.maybe)
-        self.assertFalse(lot.refused)
+        job = virtual.run(body)
+        self.assertTrue(job.maybe)
+        self.assertFalse(job.refused)
 
     def test_a_404_after_settling_is_a_fault(self) -> None:
-        async def body() -> Lot:
+        async def body() -> BatchJob:
             place = scene()
             place.now = asyncio.get_running_loop().time
             part = TrainerPart(place, place.plan.trainer[0], 0.0)
-            lot = part._draw()
-            lot.accepted_at = place.now()
+            job = part._draw()
+            job.accepted_at = place.now()
             answer = http1.Response(404, {}, b"", False)
             with mock.patch("otterreach.loadtest.trainer.ask", return_value=answer):
-                await part.read_once(lot, 0)
-                self.assertEqual(lot.faults, [])
+                await part.read_once(job, 0)
+                self.assertEqual(job.faults, [])
                 await asyncio.sleep(5)
-                await part.read_once(lot, 0)
-            return lot
+                await part.read_once(job, 0)
+            return job
 
         self.assertEqual(len(virtual.run(body).faults), 1)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 from otterreach.cli.__main__ import ROLES, app
-from otterreach.cli.codes import Desk
+from otterreach.cli.codes import ExitCode
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs" / "operations.md").read_text()
@@ -74,7 +74,7 @@
 
     def test_own_codes(self) -> None:
         rows = re.findall(r"^\| (\d+) \| `([A-Z_]+)` \|", PAGE, re.MULTILINE)
-        self.assertEqual([(int(n), name) for n, name in rows], [(code.value, code.name) for code in Desk])
+        self.assertEqual([(int(n), name) for n, name in rows], [(code.value, code.name) for code in ExitCode])
 
     def test_commands_are_there(self) -> None:
         named = set(re.findall(r"python3 -m otterreach.cli ([a-z-]+)", PAGE))
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -10,7 +10,7 @@
 
 from otterreach.jobstore.messages import EndJob, ItemBody, ReadItem, ReadJob, Results, Submit
 from otterreach.proxy import config
-from otterreach.proxy.batch_jobs import Lots, is_lots_call
+from otterreach.proxy.batch_jobs import BatchJobs, is_batch_job_call
 from otterreach.proxy.config import Caps, host_key
 from otterreach.proxy.directory import JobStoreDirectory
 from otterreach.proxy.draw import FORGET_S, MOST, Draw, Estimate
@@ -161,13 +161,13 @@
         directory = JobStoreDirectory(
             self.world.fleet, self.endpoint, settings(), lambda: (0, 0, []), lambda _: None, lambda *_: None
         )
-        lots = Lots(directory)
+        batch_jobs = BatchJobs(directory)
 
         async def handle(request: Any, client: Client) -> None:
-            if is_lots_call(request):
-                await lots.handle(request, client)
+            if is_batch_job_call(request):
+                await batch_jobs.handle(request, client)
             else:
-                await lots.submit(request, client, self.world.fleet.config.routes[0])
+                await batch_jobs.submit(request, client, self.world.fleet.config.routes[0])
 
         self.ingress = Ingress(handle, Caps)
 
@@ -179,7 +179,7 @@
         return answer.status, answer.body
 
 
-class BatchJobs(unittest.TestCase):
+class BatchJobCalls(unittest.TestCase):
     def test_refused_only_if_surely_never_taken(self) -> None:
         moved, dark = Failure(Code.NOT_PRIMARY, ""), Failure(Code.TIMED_OUT, "")
         gone, unread = Failure(Code.UNREACHABLE, ""), Failure(Code.BAD_JOB, "")
