Command line split by what commands speak to; console script `otterreach`

Change: app (application, how the system is reached), local_commands, configuration_commands, state_commands; __main__ puts them together. `otterreach` is a console script of the package. Options and exit codes are the same.

--- /dev/null
+++ b/otterreach/cli/app.py
@@ -0,0 +1,102 @@
+"""The command line's application, and what its commands share: how the system is reached, how a failure is told."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+from dataclasses import dataclass
+from http import HTTPStatus
+from pathlib import Path
+from typing import Any
+
+from cyclopts import App, Parameter
+
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.settings import VARIABLE
+
+app = App(
+    name="otterreach",
+    help=f"The operator's command line. Where addresses are not given they come from --settings, "
+    f"or from the settings file that {VARIABLE} names.",
+)
+
+
+def fail(failure: Failure) -> int:
+    """Tells of a failure: the reason goes to standard error, the number is the exit code."""
+    print(f"{failure.code.name.lower()} ({int(failure.code)}): {failure.reason}", file=sys.stderr)
+    return int(failure.code)
+
+
+@Parameter(name="*")
+@dataclass
+class Connection:
+    """How the system is reached."""
+
+    ctl: str = ""
+    "ctl addresses, host:port, split by commas."
+    controllers: str = ""
+    "Internal addresses of controllers, host:port, split by commas."
+    settings: Path | None = None
+    "A settings file of any process of the system."
+    within: float = 10.0
+    "Seconds to try for."
+
+    def _settings(self) -> dict[str, Any]:
+        """The settings file; ends the program if it can't be read."""
+        import yaml
+
+        name = self.settings or os.environ.get(VARIABLE, "")
+        try:
+            raw = yaml.safe_load(Path(name).read_text(encoding="utf-8")) if name else None
+        except (OSError, yaml.YAMLError) as error:
+            raise SystemExit(fail(Failure(Code.SETTINGS, f"{name}: {error}"))) from None
+        if not isinstance(raw, dict):
+            raise SystemExit(fail(Failure(Code.SETTINGS, "neither addresses nor a settings file are given")))
+        return raw
+
+    def ctl_addresses(self) -> list[str]:
+        """Where operators' calls go."""
+        return self.ctl.split(",") if self.ctl else [str(peer) for peer in self._settings().get("peers") or ()]
+
+    def controller_addresses(self) -> list[str]:
+        """Where controllers answer calls of the system itself."""
+        if self.controllers:
+            return self.controllers.split(",")
+        raw = self._settings()
+        port = (raw.get("portRange") or [0])[0]
+        return [f"{str(peer).rpartition(':')[0]}:{port}" for peer in raw.get("peers") or ()]
+
+
+DEFAULT_CONNECTION = Connection()
+
+
+def call_api(connection: Connection, method: str, path: str, body: bytes = b"", match: int | None = None) -> Any:
+    """A call of the operator's API; a response or a Failure."""
+    from otterreach.cli.caller import Caller
+
+    headers = {b"Content-Type": b"application/json"} if body else {}
+    if match is not None:
+        headers[b"If-Match"] = b"%d" % match
+    return asyncio.run(Caller(connection.ctl_addresses()).call(method, path, body, headers, connection.within))
+
+
+def current_configuration(connection: Connection) -> dict[str, Any] | None | Failure:
+    """The configuration in force; None if none has been taken yet."""
+    from otterreach.cli.caller import error_of
+
+    answer = call_api(connection, "GET", "/config")
+    if isinstance(answer, Failure):
+        return answer
+    if answer.status == HTTPStatus.NOT_FOUND:
+        return None
+    return json.loads(answer.body) if answer.status == HTTPStatus.OK else error_of(answer)
+
+
+def read_file(file: Path) -> bytes | Failure:
+    """A file that the command line names."""
+    try:
+        return file.read_bytes()
+    except OSError as error:
+        return Failure(Code.CONFIG_UNREADABLE, f"{file}: {error.strerror}")
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ast
+import importlib
 import re
 import shlex
 import subprocess
@@ -136,3 +137,11 @@
     """The page tells for each whether a compiler is needed."""
     for requirement in (ROOT / "requirements.txt").read_text().split():
         assert f"`{requirement.partition('==')[0]}`" in PAGE, requirement
+
+
+def test_each_console_script_exists() -> None:
+    scripts = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]["scripts"]
+    assert list(scripts) == ["otterreach"]
+    for target in scripts.values():
+        module, _, name = target.partition(":")
+        assert callable(getattr(importlib.import_module(module), name))
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -8,8 +8,9 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from otterreach.cli.__main__ import ROLES, app
+from otterreach.cli.__main__ import app
 from otterreach.cli.codes import ExitCode
+from otterreach.cli.local_commands import ROLES
 
 ROOT = Path(__file__).parent.parent
 PAGE = (ROOT / "docs" / "operations.md").read_text()
