Confirm a repeated announcement, load or release only once it is at all copies

Cause: a member's announcement, a load and the release of a duty that found nothing left to change were answered at once on the primary's own state, from which the first call's change could still vanish with the primary.

Change: they wait for Control.committed as the control API does.

Measured: tests/test_controller.py passes; its new test fails without the change.

--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -145,7 +145,7 @@
         state, key = self.control.state, f"member/{ask.node}"
         value = {"role": ask.role, "address": ask.address, "zone": ask.zone, "region": ask.region, "disk": ask.disk}
         if state.get(key) == value:
-            return Done()
+            return await self._done_when_committed()
         others = [
             (f"member/{name}", b"")
             for name, m in state.named("member").items()
@@ -325,23 +325,27 @@
         duty = self.control.state.get(f"duty/{told.server}")
         self._leaving[told.node] = self.loop.time()
         if not duty or duty["holder"] != told.node:
-            return Done()
+            return await self._done_when_committed()
         stayers = self._stayers()
         if not stayers:
             return Failure(Code.TOO_FEW_LEFT, "no other proxy")
         done = await self.control.revise([self._duty(told.server, stayers, True, told.ordered_ms / 1000)])
         return Done() if done else Failure(Code.NOT_SYNCED, "not noted")
 
+    async def _done_when_committed(self) -> Done | Failure:
+        """The answer to a call that has nothing left to change, once what it rests on can't be lost any more."""
+        return Done() if await self.control.committed() else Failure(Code.NOT_SYNCED, "not at all copies")
+
     async def _loaded(self, link: Link, told: Loaded) -> Done | Failure:
         if not self.control.is_primary:
             return Failure(Code.NOT_PRIMARY, self.control.primary_address)
         key = f"server/{told.server}"
         server = self.control.state.get(key)
         if not server:
-            return Done()
+            return await self._done_when_committed()
         models = [m | {"gen": max(told.gen, m["gen"])} if m["name"] == told.model else m for m in server["models"]]
         if models == server["models"]:
-            return Done()
+            return await self._done_when_committed()
         done = await self.control.revise([(key, json.dumps(server | {"models": models}).encode())])
         return Done() if done else Failure(Code.NOT_SYNCED, "not noted")
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from otterreach.controller.node import FRONT_GONE_S, ControllerNode
@@ -33,6 +34,7 @@
 
     def __init__(self) -> None:
         self.state, self.is_primary, self.primary_address, self.rev = ReplicatedStore(), True, "", 0
+        self.is_committed = True
 
     def revise(self, changes: list[tuple[str, bytes]]) -> asyncio.Future[bool]:
         for key, value in changes:
@@ -42,6 +44,9 @@
         future.set_result(True)
         return future
 
+    async def committed(self) -> bool:
+        return self.is_committed
+
 
 class Stage:
     def __init__(self) -> None:
@@ -136,6 +141,28 @@
 
         self.play(scene)
 
+    def test_a_repeat_is_not_confirmed_before_it_is_committed(self) -> None:
+        """What the first call changed may still vanish with the primary."""
+
+        async def scene(stage: Stage) -> None:
+            link: Any = None
+            announce = Announce("front-1", "", "front", "front-1:1", "z", "r")
+            stage.server("a", gen=3)
+            calls: list[Callable[[], Awaitable[Any]]] = [
+                lambda: stage.controller._announce(link, announce),
+                lambda: stage.controller._loaded(link, Loaded("a", "m", 3)),
+                lambda: stage.controller._loaded(link, Loaded("unknown", "m", 3)),
+                lambda: stage.controller._release(link, Release("front-1", "a", 500)),
+            ]
+            self.assertEqual(await calls[0](), Done())
+            for call in calls:
+                self.assertEqual(await call(), Done())
+            stage.control.is_committed = False
+            for call in calls:
+                self.assertIsInstance(await call(), Failure)
+
+        self.play(scene)
+
     def test_a_silent_carrier_is_forgotten_and_a_store_that_keeps_something_is_not(self) -> None:
         async def scene(stage: Stage) -> None:
             await stage.member("front-1", "front")
