Clients' listener: a head has its time as a whole, and 100 Continue comes after the answers before it

Cause: each chunk of a head began headerMs anew, so that a client that drips was never ended; 100 was written before the answer to a request that had come with the head, and never where that answer was still being made.

Result: test_proxy_parts, five tests, three fail on the code before; the others hold what must stay: a body may take long as long as it comes, and a connection that rested four fifths of idleMs takes a request.

--- a/otterreach/proxy/ingress.py
+++ b/otterreach/proxy/ingress.py
@@ -51,7 +51,8 @@
         self._open = False  # an answer has begun and not ended
         self._request: http1.Request | None = None
         self._loop = asyncio.get_running_loop()
-        self._since = self._loop.time()  # of the present quiet or partial request
+        self._quiet_since = self._loop.time()  # when bytes last came, or the last answer was out
+        self._begun_at = self._quiet_since  # when the request that is being read began to come
         self._unread_since = 0.0
         self.begun_at = 0.0  # when the request that is worked on began to come
         self.came_at = 0.0  # when it was whole
@@ -87,14 +88,12 @@
         if self._closing or self._parser.error:
             return
         now = self._loop.time()
+        self._quiet_since = now
         if not self._parser.partial:
-            self._since = now
+            self._begun_at = now
         for request in self._parser.feed(data):
-            self._queue.append((request, self._since, now))
-            self._since = now
-        if self._parser.wants_continue and self._transport and not self._task:
-            self._parser.wants_continue = False
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._queue.append((request, self._begun_at, now))
+            self._begun_at = now
         if len(self._queue) > MOST_PIPELINED and self._transport:
             self._transport.pause_reading()
         if not self._task:
@@ -105,15 +104,23 @@
         if self._closing or self._transport is None:
             return
         if not self._queue:
-            self._since = self._loop.time()
+            self._quiet_since = self._loop.time()
             if self._parser.error:
                 self._reject(int(self._parser.error))
+            else:
+                self._announce()
             return
         self._request, self.begun_at, self.came_at = self._queue.popleft()
         if len(self._queue) <= MOST_PIPELINED:
             self._transport.resume_reading()
         self._task = self._loop.create_task(self._work(self._request))
 
+    def _announce(self) -> None:
+        """The client waits to be told to send its body. Danger: not before the answers to what it asked earlier."""
+        if self._parser.wants_continue and self._transport:
+            self._parser.wants_continue = False
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
     async def _work(self, request: http1.Request) -> None:
         try:
             await self._ingress.handler(request, self)
@@ -214,16 +221,19 @@
             return
         if self._task or self._queue:
             return
-        quiet = now - self._since
-        partial = self._parser.partial
-        most = caps.idle_s if not partial else caps.header_s if self._parser.in_head else caps.header_s + caps.idle_s
-        if quiet <= most or self.unread:
+        if not self._over_time(now, caps) or self.unread:
             return
-        if partial:
+        if self._parser.partial:
             self._reject(int(HTTPStatus.REQUEST_TIMEOUT))
         else:
             self.close_if_idle()
 
+    def _over_time(self, now: float, caps: Caps) -> bool:
+        """A head has its time as a whole, however slowly it comes; a body and a rest may only not stand still."""
+        if self._parser.in_head:
+            return now - self._begun_at > caps.header_s
+        return now - self._quiet_since > (caps.header_s + caps.idle_s if self._parser.partial else caps.idle_s)
+
     def close_if_idle(self) -> None:
         """Danger: a request may wait in the kernel, and would be lost with its connection."""
         if not self.owed and not self._parser.partial and self._transport and not self.unread:
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -306,6 +306,64 @@
         got = [(await caller.next()).body for _ in range(5)]
         self.assertEqual(got, [b"/%db" % n for n in range(5)])
 
+    @played
+    async def test_a_body_is_asked_for_after_the_answers_before_it(self: Any) -> None:
+        caller = Caller(self.ingress(0.1))
+        caller.transport.write(b"GET /0 HTTP/1.1\r\nHost: h\r\n\r\n")
+        caller.transport.write(b"GET /1 HTTP/1.1\r\nHost: h\r\n\r\nPUT /2 HTTP/1.1\r\nHost: h\r\n")
+        caller.transport.write(b"Content-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+        await asyncio.sleep(0.5)
+        self.assertEqual(caller.data.count(b"HTTP/1.1 200"), 2)
+        self.assertTrue(caller.data.endswith(b"HTTP/1.1 100 Continue\r\n\r\n"))
+        caller.transport.write(b"body")
+        await asyncio.sleep(0.5)
+        self.assertTrue(caller.data.endswith(b"/2body"))
+
+    @played
+    async def test_a_body_is_not_asked_for_in_the_middle_of_what_came_with_it(self: Any) -> None:
+        caller = Caller(self.ingress(0.1))
+        head = b"PUT /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n"
+        caller.transport.write(b"GET /0 HTTP/1.1\r\nHost: h\r\n\r\n" + head)
+        await asyncio.sleep(0.5)
+        self.assertTrue(caller.data.startswith(b"HTTP/1.1 200"))
+        self.assertTrue(caller.data.endswith(b"HTTP/1.1 100 Continue\r\n\r\n"))
+
+    @played
+    async def test_a_head_that_comes_byte_by_byte_has_its_time_as_a_whole(self: Any) -> None:
+        """Caps: headerMs is 1 s, idleMs 5 s."""
+        ingress = self.ingress()
+        sweeping = asyncio.ensure_future(ingress.sweep())
+        caller = Caller(ingress)
+        for byte in b"GET /a HTTP/1.1\r\nHost: h\r\n":
+            caller.transport.write(bytes([byte]))
+            await asyncio.sleep(0.1)
+        self.assertEqual([answer.status for answer in caller.answers], [408])
+        sweeping.cancel()
+
+    @played
+    async def test_a_body_may_take_long_as_long_as_it_comes(self: Any) -> None:
+        ingress = self.ingress()
+        sweeping = asyncio.ensure_future(ingress.sweep())
+        caller = Caller(ingress)
+        caller.transport.write(b"PUT /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n")
+        for _ in range(10):
+            await asyncio.sleep(2.0)
+            caller.transport.write(b"b")
+        self.assertEqual((await caller.next()).status, 200)
+        sweeping.cancel()
+
+    @played
+    async def test_a_connection_that_rested_four_fifths_of_idle_ms_takes_a_request(self: Any) -> None:
+        ingress = self.ingress()
+        sweeping = asyncio.ensure_future(ingress.sweep())
+        caller = Caller(ingress)
+        for n in range(3):
+            caller.send(f"/{n}")
+            self.assertEqual((await caller.next()).status, 200)
+            await asyncio.sleep(4.0)
+        self.assertFalse(caller.lost)
+        sweeping.cancel()
+
     @played
     async def test_chunked_bodies(self: Any) -> None:
         caller = Caller(self.ingress())
