A client's end is noticed also while nothing is read of it

Cause: after more than eight requests sent ahead, reading pauses, and the loop is not told of the client's end: its server went on working.

Result: test_proxy_sockets, a test that fails on the code before.

--- a/otterreach/proxy/ingress.py
+++ b/otterreach/proxy/ingress.py
@@ -48,6 +48,7 @@
         self._queue: deque[tuple[http1.Request, float, float]] = deque()  # with when it began to come, and when whole
         self._task: asyncio.Task[None] | None = None
         self._closing = False  # nothing more is read
+        self._paused = False  # nothing is read for now
         self._open = False  # an answer has begun and not ended
         self._request: http1.Request | None = None
         self._loop = asyncio.get_running_loop()
@@ -95,6 +96,7 @@
             self._queue.append((request, self._begun_at, now))
             self._begun_at = now
         if len(self._queue) > MOST_PIPELINED and self._transport:
+            self._paused = True
             self._transport.pause_reading()
         if not self._task:
             self._next()
@@ -111,7 +113,8 @@
                 self._announce()
             return
         self._request, self.begun_at, self.came_at = self._queue.popleft()
-        if len(self._queue) <= MOST_PIPELINED:
+        if self._paused and len(self._queue) <= MOST_PIPELINED:
+            self._paused = False
             self._transport.resume_reading()
         self._task = self._loop.create_task(self._work(self._request))
 
@@ -214,6 +217,9 @@
         """Time bounds."""
         if self._transport is None or self._closing:
             return
+        if self._paused and self.ended:  # Danger: while reading pauses the loop is not told of the client's end
+            self.cut()
+            return
         if not self._transport.get_write_buffer_size():
             self._unread_since = now
         elif now - self._unread_since > UNREAD_S:
--- a/tests/test_proxy_sockets.py
+++ b/tests/test_proxy_sockets.py
@@ -142,6 +142,29 @@
         self.assertEqual(seen, [False, True])
         await ingress.leave(0.0, 1.0)
 
+    async def test_the_end_of_a_client_that_asked_for_much_ends_the_work_for_it(self) -> None:
+        """So much that it is not read on for now, and its end waits behind that."""
+        begun, ended = asyncio.Event(), asyncio.Event()
+
+        async def handle(request: Any, client: Client) -> None:
+            begun.set()
+            try:
+                await asyncio.sleep(60)
+            finally:
+                ended.set()
+
+        ingress = Ingress(handle, Caps)
+        port = await ingress.listen("127.0.0.1", 0)
+        sweeping = asyncio.ensure_future(ingress.sweep())
+        theirs = socket.create_connection(("127.0.0.1", port))
+        theirs.sendall(b"GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: q\r\n\r\n" * 20)
+        await begun.wait()
+        theirs.close()
+        async with asyncio.timeout(0.5):
+            await ended.wait()
+        sweeping.cancel()
+        await ingress.leave(0.0, 1.0)
+
     async def test_nothing_new_from_a_closed_pool(self) -> None:
         _, address, got = await self.serve(b"")
         pool = Pool(asyncio.get_running_loop(), address)
