--- a/tests/test_proxy_requests.py
+++ b/tests/test_proxy_requests.py
@@ -233,6 +233,27 @@
         self.assertEqual(server.dropped, ["q1"])
         self.assertEqual(world.fleet.servers["i-1"].estimate.in_flight, 0)
 
+    @played
+    async def test_a_client_that_leaves_a_stream_cancels_it(self) -> None:
+        """Before its first event, in its middle, and while it is tried elsewhere."""
+
+        async def begin(call: Call) -> None:
+            call.begin()
+            call.event(1, "x")
+            await asyncio.sleep(3600)
+
+        for resume, script in ((False, silence), (False, begin), (True, begin), (True, silence)):
+            world = World([route(kind="stream", resume=resume, tries=2)])
+            servers = [world.server("i-1", script), world.server("i-2", script)]
+            caller = Caller(ingress(world))
+            caller.send(deadline_ms=1900)
+            await asyncio.sleep(0.5)
+            caller.transport.abort()
+            await asyncio.sleep(0.4)
+            with self.subTest(resume=resume, script=script.__name__):
+                self.assertEqual([end for s in servers for end in s.dropped], ["q1"])
+                self.assertEqual([s.pool.connections for s in world.fleet.servers.values()], [set(), set()])
+
     @played
     async def test_another_server_at_the_address(self) -> None:
         world = World([route(kind="mutating")])
