--- a/tests/proxy_support.py
+++ b/tests/proxy_support.py
@@ -100,7 +100,7 @@
             raise ConnectionRefusedError
         if server.dark:
             await asyncio.sleep(3600)
-        here, there = factory(), _ServerEnd(server)
+        here, there = factory(), ServerEnd(server)
         connect(here, there)
         server.opened += 1
         return here
@@ -112,7 +112,7 @@
 class Call:
     """One request at a server, and the means to answer it."""
 
-    def __init__(self, server: FakeServer, end: _ServerEnd, request: http1.Request) -> None:
+    def __init__(self, server: FakeServer, end: ServerEnd, request: http1.Request) -> None:
         self.server, self.end, self.request = server, end, request
         self.id = request.headers.get(b"request-id", b"").decode()
 
@@ -162,10 +162,12 @@
         self.dropped: list[str] = []  # whose connection closed before their answer
         self.refuses = self.dark = False
         self.opened = 0
-        self.ends: list[_ServerEnd] = []
+        self.ends: list[ServerEnd] = []
 
 
-class _ServerEnd(asyncio.Protocol):
+class ServerEnd(asyncio.Protocol):
+    """A server's end of one connection: whole requests in, each to the script."""
+
     def __init__(self, server: FakeServer) -> None:
         self.server = server
         self.transport: MemoryTransport | None = None
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import Counter
 from collections.abc import Callable
 from enum import Enum, auto
@@ -16,15 +17,16 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from otterreach.proxy.pools import Address, Connection, Factory
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.http import JsonServer, Reply
 from otterreach.runtime.http_client import JsonClient
 from otterreach.runtime.rpc import HEADER, Done, Endpoint, Link, Refused
 from otterreach.sidecar import http1
 from tests import virtual
-from tests.proxy_support import Call, Caller, World, route
+from tests.proxy_support import Call, Caller, FakeServer, ServerEnd, World, route
 from tests.test_proxy_requests import ingress
-from tests.virtual import MemoryLoop, connect
+from tests.virtual import LATENCY_S, MemoryLoop, MemoryTransport, connect
 
 PROMISES = (408, 421, 429, 503)
 TRIES = 2
@@ -60,9 +62,12 @@
     TURNED_AWAY = auto()
     MISDIRECTED = auto()
     PLAIN_503 = auto()  # ran, and says 503 without Not-Run
+    EARLY_FAILS = auto()  # ran, and answers before the whole body has come, where it comes in pieces
+    EARLY_TURNED_AWAY = auto()
 
 
-UNRUN = (Trick.RESET_UNRUN, Trick.CLOSED_UNRUN, Trick.TURNED_AWAY, Trick.MISDIRECTED)
+EARLY = (Trick.EARLY_FAILS, Trick.EARLY_TURNED_AWAY)
+UNRUN = (Trick.RESET_UNRUN, Trick.CLOSED_UNRUN, Trick.TURNED_AWAY, Trick.MISDIRECTED, Trick.EARLY_TURNED_AWAY)
 
 
 class Act(NamedTuple):
@@ -88,6 +93,72 @@
 )
 
 
+class NarrowTransport(MemoryTransport):
+    """Takes `room` bytes of a write at once, and the rest a while later, unless it was aborted by then."""
+
+    def __init__(self, protocol: asyncio.BaseProtocol, room: int) -> None:
+        super().__init__(protocol)
+        self.room, self.rest = room, b""
+
+    def write(self, data: Any) -> None:
+        data = bytes(data)
+        super().write(data[: self.room])
+        if len(data) > self.room and not self.closing:
+            self.rest = data[self.room :]
+            self.protocol.pause_writing()
+            self.loop.call_later(0.02, self._drain)
+
+    def _drain(self) -> None:
+        rest, self.rest = self.rest, b""
+        if not self.closing:
+            super().write(rest)
+            self.protocol.resume_writing()
+
+    def get_write_buffer_size(self) -> int:
+        return len(self.rest)
+
+
+class EarlyEnd(ServerEnd):
+    """A server's end that may answer before it has read the whole body; then it reads on."""
+
+    def __init__(self, server: FakeServer, servers: HostileServers) -> None:
+        super().__init__(server)
+        self.servers = servers
+        self.due = 0  # bytes of a body whose request has been answered
+
+    def data_received(self, data: bytes) -> None:
+        part, data = data[: self.due], data[self.due :]
+        self.due -= len(part)
+        if part.strip(b"b"):
+            self.servers.misplaced.append(part)
+        head, _, body = data.partition(b"\r\n\r\n")
+        length = re.search(rb"Content-Length: (\d+)", head)
+        if length and len(body) < int(length[1]) and self.servers.next_trick in EARLY:
+            self.due = int(length[1]) - len(body)
+            data = head.replace(length[0], b"Content-Length: 0") + b"\r\n\r\n"
+        if data:
+            super().data_received(data)
+
+
+class HostileWorld(World):
+    """Connections of some room, to ends that may answer early."""
+
+    def __init__(self, routes: list[dict[str, Any]], room: int | None) -> None:
+        super().__init__(routes)
+        self.room = room
+        self.hostile: HostileServers
+
+    async def open(self, address: Address, factory: Factory) -> Connection:
+        await asyncio.sleep(LATENCY_S)
+        here, there = factory(), EarlyEnd(self.servers[address], self.hostile)
+        near = MemoryTransport(here) if self.room is None else NarrowTransport(here, self.room)
+        far = MemoryTransport(there)
+        near.other, far.other = far, near
+        there.connection_made(far)
+        here.connection_made(near)
+        return here
+
+
 class HostileServers:
     """Three servers that act by turns of one list, and what they have seen."""
 
@@ -97,9 +168,14 @@
         self.reached: dict[str, set[str]] = {}
         self.sealed: dict[bytes, int] = {}  # stamp -> status
         self.earlier: list[bytes] = []
+        self.misplaced: list[bytes] = []  # other bytes where the rest of a body was due
         for n in range(3):
             world.server(f"i-{n}", self.act)
 
+    @property
+    def next_trick(self) -> Trick:
+        return self.script[self.turn % len(self.script)].trick
+
     async def act(self, call: Call) -> None:
         act = self.script[self.turn % len(self.script)]
         self.turn += 1
@@ -163,13 +239,13 @@
             write(answer[: -act.at % 9] if trick is Trick.UNFRAMED_RESET else answer)
             await asyncio.sleep(act.delay_s)
             self.end(call, reset=trick is Trick.UNFRAMED_RESET)
-        elif trick is Trick.FAILS:
+        elif trick in (Trick.FAILS, Trick.EARLY_FAILS):
             write(self.whole(call, 500))
         elif trick is Trick.FAILS_TWICE:
             write(self.whole(call, 500) * 2)
         elif trick is Trick.PLAIN_503:
             write(self.whole(call, 503))
-        elif trick is Trick.TURNED_AWAY:
+        elif trick in (Trick.TURNED_AWAY, Trick.EARLY_TURNED_AWAY):
             call.turn_away()
         elif trick is Trick.MISDIRECTED:
             call.answer(421, b"", b"")
@@ -228,15 +304,21 @@
 
 
 @hypothesis_settings(max_examples=400)
-@given(st.lists(acts, min_size=1, max_size=8), st.lists(st.lists(asks, max_size=4), min_size=1, max_size=3))
-def test_requests_of_clients_at_hostile_servers(script: list[Act], lines: list[list[Ask]]) -> None:
+@given(
+    st.lists(acts, min_size=1, max_size=8),
+    st.lists(st.lists(asks, max_size=4), min_size=1, max_size=3),
+    st.sampled_from([None, None, 0, 120, 5000]),
+)
+@example([Act(Trick.EARLY_FAILS, 0, 0.0)], [[Ask("mutating", 70_000, None, 0.0)]], 5000)
+def test_requests_of_clients_at_hostile_servers(script: list[Act], lines: list[list[Ask]], room: int | None) -> None:
     async def main() -> None:
-        world = World(kinds())
-        servers = HostileServers(world, script)
+        world = HostileWorld(kinds(), room)
+        servers = world.hostile = HostileServers(world, script)
         heard: dict[str, Heard] = {}
         await asyncio.gather(*(one_client(world, n, line, heard) for n, line in enumerate(lines)))
         await asyncio.sleep(1.0)  # what comes late comes
         judge(servers, heard)
+        assert not servers.misplaced
 
     virtual.run(main)
 
