--- a/otterreach/simulation/faults.py
+++ b/otterreach/simulation/faults.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -10,7 +11,9 @@
 
 KINDS = ("kill", "power", "freeze", "late_freeze", "cut", "one_way", "reset", "slow_link", "slow_disk")
 CALM_S = 9.0  # syncS, and time for clients
+LEADER = "leader"  # in place of a name: the machine that leads when the fault begins
 FIRST_S = 4.0
+LEADER_SHARE = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,8 +39,9 @@
         return replace(self, faults=self.faults[:index] + self.faults[index + 1 :])
 
 
-def draw(random: Random, names: list[str], others: list[str], wipes: int) -> Plan:
+def draw(random: Random, names: list[str], others: list[str], wipes: int, leader: bool = False) -> Plan:
     """`names`: machines that count, of which `wipes` may lose their disks at once; `others`: those without a disk.
+    `leader`: some faults are on the machine that leads at that time.
 
     A machine that stands still or is cut off counts as lost too, so a disk goes only while nothing else is wrong with
     those that count, or while all of them lose power.
@@ -51,7 +55,7 @@
         if wipes and random.random() < 0.4:
             episode = _loss(random, names, others, at, length, wipes)
         else:
-            episode = [_one(random, names, others, at, length) for _ in range(random.randint(1, 7))]
+            episode = [_one(random, names, others, at, length, leader) for _ in range(random.randint(1, 7))]
         faults += sorted(episode, key=lambda fault: fault.at)
         over = max(f.at + f.for_s for f in episode)
         calm[-1] = (calm[-1][0], at)
@@ -74,10 +78,12 @@
     return episode
 
 
-def _one(random: Random, names: list[str], others: list[str], at: float, length: float) -> Fault:
+def _one(random: Random, names: list[str], others: list[str], at: float, length: float, leader: bool = False) -> Fault:
     kind = random.choice(KINDS)
     pool = names if random.random() < 0.7 or not others else others
     count = 1 if random.random() < 0.7 else random.randint(1, len(pool))
+    if leader and random.random() < LEADER_SHARE:
+        return Fault(at + random.uniform(0.0, length), kind, (LEADER,), _duration(random))
     if kind in ("cut", "one_way"):
         pool = names + others
         count = random.randint(1, max(1, len(pool) // 2))
@@ -88,16 +94,22 @@
         at + random.uniform(0.0, length),
         kind,
         on,
-        random.choice([0.05, 0.4, 0.8, 1.5, 3.0, 5.0]) * random.uniform(0.5, 1.5),
+        _duration(random),
     )
 
 
+def _duration(random: Random) -> float:
+    return random.choice([0.05, 0.4, 0.8, 1.5, 3.0, 5.0]) * random.uniform(0.5, 1.5)
+
+
 class Troubles:
     """Carries a plan out. Machines under several faults at a time come back when the last one is over."""
 
     def __init__(self, world: World, plan: Plan) -> None:
         self.world, self.plan = world, plan
         self.active: list[Fault] = []
+        self.leader: Callable[[], str] = lambda: ""  # name of the machine that leads
+        self._began: dict[Fault, Fault] = {}  # with the names that were meant
         self.last_change = 0.0
         self.thawed: dict[str, float] = {}  # by machine, when last
         self.healed = -1e9  # when a cut was last over
@@ -113,7 +125,15 @@
     def _boxes(self, fault: Fault) -> list[Box]:
         return [self.world.boxes[name] for name in fault.on]
 
-    def _begin(self, fault: Fault) -> None:
+    def _named(self, fault: Fault) -> Fault:
+        """The fault with the name of the machine that leads now."""
+        if LEADER not in fault.on:
+            return fault
+        on = {self.leader() if name == LEADER else name for name in fault.on}
+        return replace(fault, on=tuple(sorted(on - {""})))
+
+    def _begin(self, planned: Fault) -> None:
+        fault = self._began[planned] = self._named(planned)
         self.active.append(fault)
         self.last_change = self.world.now
         self.world.lines.append(f"{self.world.now:9.3f} FAULT {fault}")
@@ -128,7 +148,8 @@
                 self.world.net.reset_some(box.ip, 0.7)
         self._levels()
 
-    def _end(self, fault: Fault) -> None:
+    def _end(self, planned: Fault) -> None:
+        fault = self._began.pop(planned)
         self.active.remove(fault)
         self.last_change = self.world.now
         self.world.lines.append(f"{self.world.now:9.3f} OVER  {fault}")
--- /dev/null
+++ b/otterreach/simulation/invariants.py
@@ -0,0 +1,159 @@
+"""What has to hold of the controllers at each step, whoever asks: one primary for each number; every acknowledged
+change at each new primary; within one life no process' copy goes back."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from otterreach.controller.replication import Control
+from otterreach.simulation.history import History
+from otterreach.simulation.world import Box, World
+
+RANKS = {"up": 0, "draining": 1}
+GONE = 2
+LEAST = {"": 0, "up": 0, "draining": 1, "gone": GONE}  # rank of a server by what was acknowledged
+
+
+class ControlInvariants:
+    """Watches all controllers and copies of one run."""
+
+    def __init__(self, world: World, history: History) -> None:
+        self.world, self.history = world, history
+        self.primaries: dict[int, str] = {}  # id by number
+        self.acked_items: dict[str, int] = {}  # key -> rev
+        self._copies: dict[tuple[str, int], _CopySeen] = {}  # by machine and life
+        self._rows: Any = None
+        self._summary: Any = None
+        world.watch(self.summary, self._check_primaries, self._check_copies)
+
+    def watch_acknowledgements(self) -> None:
+        """Note what `revise` acknowledges, and hold it against each new primary."""
+        invariants = self
+
+        def revising(plain: Any) -> Any:
+            def revise(control: Control, changes: Any) -> Any:
+                changes = list(changes)
+                future = plain(control, changes)
+                items = control.state.items
+                revs = {key: items[key].rev for key, _ in changes if key in items}
+                future.add_done_callback(lambda done: invariants._note(done, revs))
+                return future
+
+            return revise
+
+        def taking(plain: Any) -> Any:
+            def take_office(control: Control) -> None:
+                plain(control)
+                if control.is_primary:
+                    invariants.check_acknowledged(control)
+
+            return take_office
+
+        self.world.wrap(Control, "revise", revising)
+        self.world.wrap(Control, "_take_office", taking)
+
+    def _note(self, done: asyncio.Future[bool], revs: dict[str, int]) -> None:
+        if not done.cancelled() and done.result() is True:
+            for key, rev in revs.items():
+                self.acked_items[key] = max(self.acked_items.get(key, 0), rev)
+
+    def controls(self) -> list[tuple[Box, Control]]:
+        return [(box, box.object.control) for box in self.world.of_role("core") if box.up and box.object]
+
+    def leader(self) -> str:
+        """Name of the machine that is primary, with the highest number if there are several; empty if none is."""
+        numbers = {control.number: box.name for box, control in self.controls() if control.is_primary}
+        return numbers[max(numbers)] if numbers else ""
+
+    def summary(self) -> Any:
+        """The state of the run as it is counted: order among numbers and revs, not the figures themselves."""
+        controls = self.controls()
+        rows = [(box.name, c.mode, c.promised, c.number) for box, c in controls]
+        frozen = [box.process.frozen for box in self.world.boxes.values() if box.process]
+        revs = [box.node.store.rev if box.up and box.node else -1 for box in self.world.boxes.values()]
+        if (rows, frozen, revs) != self._rows:  # the rest is dear, and asked for after each step
+            self._rows = (rows, frozen, revs)
+            self._summary = _ranked(rows), tuple(frozen), _order(revs)
+        return self._summary
+
+    def _check_primaries(self) -> None:
+        for _, control in self.controls():
+            if not control.is_primary:
+                continue
+            known = self.primaries.setdefault(control.number, control.id)
+            self.world.expect(known == control.id, "one primary", f"{known} and {control.id} in {control.number}")
+
+    def _check_copies(self) -> None:
+        for box in self.world.boxes.values():
+            if box.up and box.node is not None:
+                seen = self._copies.setdefault((box.name, box.lives), _CopySeen(box.name, self.world))
+                seen.look(box.node.store, self.history)
+
+    def check_acknowledged(self, control: Control) -> None:
+        """All that was acknowledged is at this controller."""
+        for key, rev in self.acked_items.items():
+            item = control.state.items.get(key)
+            what = f"{key} {rev} at {control.settings.node} in {control.number}"
+            self.world.expect(item and item.rev >= rev, "acknowledged is gone", what)
+
+    def check_end(self) -> None:
+        """After all trouble: one primary, and what callers were told is there."""
+        primaries = [c for _, c in self.controls() if c.is_primary]
+        self.world.expect(len(primaries) == 1, "in time", f"{len(primaries)} primaries at the end")
+        for control in primaries:
+            self.check_acknowledged(control)
+            self._check_versions(control)
+            self._check_servers(control)
+
+    def _check_versions(self, control: Control) -> None:
+        for model, gen in self.history.models.items():
+            have = (control.state.get(f"version/{model}") or {"gen": 0})["gen"]
+            self.world.expect(have >= gen, "acknowledged is gone", f"version {gen} of {model}, {have} is there")
+
+    def _check_servers(self, control: Control) -> None:
+        for ident, state in self.history.servers.items():
+            known = control.state.get(f"server/{ident}")
+            rank = GONE if known is None else RANKS[known["state"]]
+            self.world.expect(rank >= LEAST[state], "acknowledged is gone", f"server {ident} {state}: {known}")
+
+
+class _CopySeen:
+    """What one process' copy has held so far in its life."""
+
+    def __init__(self, name: str, world: World) -> None:
+        self.name, self.world = name, world
+        self._rev = -1
+        self._config = (0, 0)  # rev, gen
+        self._servers: dict[str, tuple[int, int]] = {}  # rev, rank
+
+    def look(self, store: Any, history: History) -> None:
+        if store.rev == self._rev:
+            return
+        self._rev = store.rev
+        config = store.items.get("config")
+        if config and config.rev != self._config[0]:
+            gen, old = json.loads(config.value)["gen"], self._config[1]
+            self.world.expect(gen >= old, "copy goes back", f"{self.name}: {gen} after {old}")
+            self._config = (config.rev, gen)
+        for ident in history.servers:
+            self._look_at_server(ident, store.items.get(f"server/{ident}"))
+
+    def _look_at_server(self, ident: str, item: Any) -> None:
+        rev, old = self._servers.get(ident, (0, 0))
+        if item is None or item.rev == rev:
+            return
+        rank = GONE if item.gone else RANKS[json.loads(item.value)["state"]]
+        self.world.expect(rank >= old, "server comes back", f"{self.name}: {ident} {rank} after {old}")
+        self._servers[ident] = (item.rev, rank)
+
+
+def _order(values: list[int]) -> tuple[int, ...]:
+    places = {value: place for place, value in enumerate(sorted(set(values)))}
+    return tuple(places[value] for value in values)
+
+
+def _ranked(rows: list[tuple[str, Any, int, int]]) -> Any:
+    numbers = sorted({n for row in rows for n in row[2:]})
+    return tuple((name, mode.value, numbers.index(p), numbers.index(n)) for name, mode, p, n in rows)
--- a/otterreach/simulation/loop.py
+++ b/otterreach/simulation/loop.py
@@ -45,11 +45,11 @@
     def freeze(self) -> None:
         self.frozen = True
 
-    def thaw(self, loop: VirtualLoop) -> None:
-        """What has become due meanwhile runs now, in the order in which it became due."""
+    def thaw(self, loop: VirtualLoop, due: list[asyncio.Handle] | None = None) -> None:
+        """What has become due meanwhile runs now: `due`, or all in the order in which it became due."""
         self.frozen = False
         held, self.held = self.held, []
-        for handle in held:
+        for handle in held if due is None else due:
             loop.ready(handle)
 
 
--- a/otterreach/simulation/net.py
+++ b/otterreach/simulation/net.py
@@ -157,6 +157,10 @@
         """Whether the kernel of this end still has what it was to send."""
         return self.life == self.machine.life and self.machine.powered
 
+    def accept(self, server: Server) -> None:
+        self.protocol = server.factory()
+        self.protocol.connection_made(self)
+
     def arrived(self, data: bytes | None) -> None:
         self.network.loop.call_as(self.process, self._take, data)
 
@@ -241,6 +245,28 @@
         self.protocol = protocol
 
 
+def in_any_order(held: list[asyncio.Handle], random: Random) -> list[asyncio.Handle]:
+    """What a process that stood still does first: what had become ready before, then what came on its connections, in
+    order on each but not among them, then its timers."""
+    ready: list[asyncio.Handle] = []
+    timers: list[asyncio.Handle] = []
+    arrived: dict[Transport, deque[asyncio.Handle]] = {}
+    for handle in held:
+        transport = getattr(handle._callback, "__self__", None)  # type: ignore[attr-defined]
+        if isinstance(handle, asyncio.TimerHandle):
+            timers.append(handle)
+        elif isinstance(transport, Transport):
+            arrived.setdefault(transport, deque()).append(handle)
+        else:
+            ready.append(handle)
+    while arrived:
+        transport = random.choice(list(arrived))
+        ready.append(arrived[transport].popleft())
+        if not arrived[transport]:
+            del arrived[transport]
+    return ready + timers
+
+
 class Machine:
     """An address; `life` rises with each loss of power."""
 
@@ -336,7 +362,7 @@
                 transport.out.hold()
 
     def thaw(self, process: Process) -> None:
-        process.thaw(self.loop)
+        process.thaw(self.loop, in_any_order(process.held, self.random))
         self.again()
 
     def process_ended(self, process: Process) -> None:
@@ -398,11 +424,7 @@
         self.transports = [t for t in self.transports if not t.lost]
         self.transports += [near, far]
 
-        def accept() -> None:
-            far.protocol = server.factory()
-            far.protocol.connection_made(far)
-
-        self.loop.call_as(server.process, accept)
+        self.loop.call_as(server.process, far.accept, server)
         near.protocol = factory()
         near.protocol.connection_made(near)
         return near, near.protocol
--- /dev/null
+++ b/otterreach/simulation/roles.py
@@ -0,0 +1,34 @@
+"""The processes of the real roles, as a simulated machine starts them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from otterreach.controller.node import ControllerNode
+from otterreach.proxy.node import Proxy
+from otterreach.simulation.world import Box
+
+
+async def controller(box: Box) -> None:
+    """A controller on the machine's disk, until SIGTERM."""
+    node = box.new_node()
+    journal = box.journal()
+    records = journal.read()
+    box.object = ControllerNode(node.settings, node, journal)  # type: ignore[arg-type]
+    await box.object.run(records)
+
+
+async def open_virtual(address: tuple[str, int], factory: Any) -> Any:
+    """Takes the place of otterreach.sidecar.transport.open_tcp."""
+    _, connection = await asyncio.get_running_loop().create_connection(factory, *address)
+    return connection
+
+
+async def proxy(box: Box) -> None:
+    """A proxy: here it follows, and holds the duty of orders to servers."""
+    node = box.new_node()
+    box.object = Proxy(node, node.random, open_virtual)
+    await node.start("front")
+    await box.object.start()
+    await node.stopping.wait()
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -231,6 +231,33 @@
 
         Pair().play(work)
 
+    def test_thawed_process_takes_connections_in_any_order(self) -> None:
+        """In order on each connection, but not among them."""
+        orders = set()
+        for seed in range(12):
+            pair, got = Pair(seed), list[int]()
+
+            async def work(pair: Pair = pair, got: list[int] = got) -> None:
+                async def take(link: Link, ask: rpc.Refused) -> None:
+                    got.append(ask.code)
+
+                pair.server.on(rpc.Refused, take)
+                links = [await Endpoint().link("10.0.0.2:5") for _ in range(2)]
+                pair.net.freeze(pair.far, late=False)
+                for number in range(4):
+                    link = links[number % 2]
+                    assert isinstance(link, Link)
+                    link.send(rpc.Refused(number, ""))
+                    await asyncio.sleep(0.1)
+                pair.net.thaw(pair.far)
+                await asyncio.sleep(0.5)
+
+            pair.play(lambda _, work=work: work())  # type: ignore[misc]
+            self.assertLess(got.index(0), got.index(2))
+            self.assertLess(got.index(1), got.index(3))
+            orders.add(tuple(got))
+        self.assertGreater(len(orders), 2)
+
 
 class DiskTest(unittest.TestCase):
     def test_what_was_synced_lasts(self) -> None:
@@ -322,6 +349,17 @@
         with mock.patch.object(Control, "_install", install):
             self.assertNotEqual("", self.found(control.run, 8))
 
+    def test_read_without_asking_the_backups(self) -> None:
+        """A primary that was frozen answers with its old configuration: only reads as a history show it."""
+
+        async def confirm(self: Control) -> bool:
+            return self.is_primary
+
+        freeze = faults.Fault(3.0, "freeze", (faults.LEADER,), 2.0)
+        plan = faults.Plan((freeze,), ((5.0, 14.0),), 14.0)
+        with mock.patch.object(Control, "confirm", confirm):
+            self.assertEqual("linearizable", self.found(lambda seed: control.run(seed, plan), 12))
+
     def test_acknowledged_without_the_backups(self) -> None:
         with mock.patch.object(Office, "counted", property(lambda office: [])):
             self.assertNotEqual("", self.found(jobs.run, 8))
