--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -5,9 +5,10 @@
 import asyncio
 import json
 import zlib
+from collections.abc import Iterable
 
 from otterreach.controller import planner
-from otterreach.controller.handlers import Desk
+from otterreach.controller.api.router import ApiRouter
 from otterreach.controller.messages import Sighting, Sightings
 from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
@@ -43,8 +44,8 @@
         self.heard: dict[str, float] = {}  # by node#disk: when last
         self.heard_servers: dict[str, float] = {}
         self.control = Control(settings, node.endpoint, journal, node.follower, node.random, self._office)
-        self.desk = Desk(settings, self.control, node.store, self._living_stores, self._server_heard)
-        self.server = JsonServer(self.desk.handle)
+        self.api = ApiRouter(settings, self.control, node.follower, self._living_stores, self._server_heard)
+        self.server = JsonServer(self.api.handle)
         self._settled_at = 0.0
         self._lost: dict[tuple[int, str], float] = {}  # (partition, backup): when its primary last said so
         self._stores_since = 0.0
@@ -62,7 +63,7 @@
         ):
             node.endpoint.on(kind, handler)
 
-    async def run(self, records: list[Record]) -> None:
+    async def run(self, records: Iterable[Record]) -> None:
         self.control.load(records)
         self.node.disk = self.control.id
         host, port = self.settings.binds["ctl"]
@@ -125,7 +126,7 @@
         return {name for name in self._store_members() if now - self.heard.get(name, -1e9) < DEAD_S}
 
     def _store_members(self) -> dict[str, str]:
-        """Zone of each store_node that is known, by node#disk."""
+        """Zone of each job store node that is known, by node#disk."""
         return {
             member(node, m["disk"]): m["zone"]
             for node, m in self.control.state.named("member").items()
@@ -251,13 +252,13 @@
                     epoch=part.epoch,
                     primary=part.primary,
                     backups=",".join(part.backups),
-                    joining=",".join(part.joining),
+                    joining=",".join(part.learners),
                 )
 
     def _plan_members(self) -> None:
         """Forget machines that have long been silent and keep nothing; one that comes back announces itself anew."""
         now, state = self.loop.time(), self.control.state
-        keeping = {m for part in self.parts().values() for m in (*part.members, *part.joining)}
+        keeping = {m for part in self.parts().values() for m in (*part.members, *part.learners)}
         changes = []
         for node, m in state.named("member").items():
             name = member(node, m["disk"])
@@ -335,7 +336,7 @@
         record = self.parts().get(told.part)
         if record is None or record.epoch != told.epoch:
             return Failure(Code.STALE_EPOCH, "another epoch")
-        if told.member in record.joining:
+        if told.member in record.learners:
             stores = self.stores().without(self._lost_now().get(told.part, set()) - {record.primary})
             new = planner.synced(record, told.member, self.copies, stores)
             self._revise_parts({told.part: new})
--- a/otterreach/simulation/operators.py
+++ b/otterreach/simulation/operators.py
@@ -17,7 +17,6 @@
 STALE_SHARE = 0.05  # builds on an older version on purpose
 TWICE_SHARE = 0.1  # sent to two machines at once
 REPEAT_SHARE = 0.15  # an older change is sent once more
-REPEAT_LAST = 32  # of how many: the controllers remember 64 taken ones
 GIVE_UP_SHARE = 0.03  # after an unclear answer
 THINK_S = (0.01, 0.3, 1.0)
 AGAIN_S = (0.05, 0.4)
@@ -68,7 +67,7 @@
             else:
                 await self._look()
             if self.random.random() < REPEAT_SHARE:
-                await self._copy(self.random.choice(self.history.sent[-REPEAT_LAST:]))
+                await self._copy(self.random.choice(self.history.sent))
             await asyncio.sleep(self.random.choice(THINK_S))
 
     def _know(self, gen: int) -> None:
--- a/tests/test_jobstore_copies.py
+++ b/tests/test_jobstore_copies.py
@@ -242,20 +242,20 @@
             await client.submit("a")
             world.controller.handlers.clear()  # PartSynced is heard by nobody
             primary, backup = world.primary_of("a"), world.backup_of("a")
-            joiner = next(s for s in world.stores.values() if s not in (primary, backup))
+            learner = next(s for s in world.stores.values() if s not in (primary, backup))
             part = primary.copy("a").part
             record = world.parts()[part]
-            world.put(f"part/{part}", {**record.json(), "epoch": record.epoch + 1, "joining": [joiner.node.member]})
+            world.put(f"part/{part}", {**record.json(), "epoch": record.epoch + 1, "joining": [learner.node.member]})
             await asyncio.sleep(0.5)
-            self.assertEqual({joiner.node.member}, primary.copy("a").declared)
-            joiner.stop()
+            self.assertEqual({learner.node.member}, primary.copy("a").in_sync)
+            learner.stop()
             self.assertIsInstance(await client.finish("a", 0), Failure)
             primary.stop()
             primary.start()
             await asyncio.sleep(0.5)
-            self.assertEqual({joiner.node.member}, primary.copy("a").declared)
+            self.assertEqual({learner.node.member}, primary.copy("a").in_sync)
             self.assertIsInstance(await client.finish("a", 0), Failure)
-            joiner.start()
+            learner.start()
             await world.serving("a")
             self.assertIsInstance(await client.finish("a", 1), Done)
 
@@ -306,7 +306,7 @@
             await asyncio.sleep(15.0)
             part = old.copy("a").part
             record = world.parts()[part]
-            self.assertNotIn(old.node.member, (*record.members, *record.joining))
+            self.assertNotIn(old.node.member, (*record.members, *record.learners))
             self.assertIs(CopyState.ABSENT, old.copy("a").state)
             self.assertFalse(old.copy("a").jobs.jobs)
 
@@ -386,6 +386,31 @@
 
         play(scene)
 
+    def test_rewritten_while_records_come_it_gives_the_same(self) -> None:
+        """Records of a partition stand before its slice, between slices and after it."""
+
+        async def scene(world: World, client: Client) -> None:
+            for name in ("a", "b", "c"):
+                await client.submit(name)
+            store = world.primary_of("a")
+            store.journal.slice_s = 0.5
+            rewriting = asyncio.ensure_future(store.journal.rewrite(store.store_node.live))
+            for n in range(40):
+                await client.submit(f"more-{n}")
+                await client.finish(f"more-{n}", 1)
+            await client.finish("a", 1)
+            await client.end("b")
+            self.assertFalse(rewriting.done())
+            self.assertTrue(await rewriting)
+            await store.journal.sync()
+            before = {c.part: (c.position, c.epoch, c.jobs.digests()) for c in store.store_node.replication.copies}
+            store.stop(power=True)
+            store.start()
+            after = {c.part: (c.position, c.epoch, c.jobs.digests()) for c in store.store_node.replication.copies}
+            self.assertEqual(before, after)
+
+        play(scene)
+
     def test_ended_jobs_go_after_their_time_and_open_ones_stay(self) -> None:
         async def scene(world: World, client: Client) -> None:
             await client.submit("a")
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -10,8 +10,9 @@
 from typing import Any
 from unittest import mock
 
+from otterreach.controller.acceptor import Acceptor
 from otterreach.controller.replication import Control
-from otterreach.jobstore.replication import Office
+from otterreach.jobstore.leadership import PartitionLeader
 from otterreach.runtime import rpc
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.rpc import Done, Endpoint, Link
@@ -295,7 +296,7 @@
             journal = VirtualJournal(disk)
             journal.append(1, b"x" * 1000)
             await journal.sync()
-            self.assertTrue(await journal.rewrite(lambda: [(2, b"y")]))
+            self.assertTrue(await journal.rewrite(lambda: [[(2, b"y")]]))
             journal.append(3, b"z")
             await journal.sync()
             self.assertEqual([(2, b"y"), (3, b"z")], VirtualJournal(disk).read())
@@ -342,11 +343,11 @@
         return ""
 
     def test_backup_that_takes_no_state(self) -> None:
-        async def install(self: Control, link: Link, ask: Any) -> Done:
-            self.promised = max(self.promised, ask.number)
+        async def install(self: Acceptor, link: Link, ask: Any) -> Done:
+            self.replica.promised = max(self.replica.promised, ask.number)
             return Done()
 
-        with mock.patch.object(Control, "_install", install):
+        with mock.patch.object(Acceptor, "install_snapshot", install):
             self.assertNotEqual("", self.found(control.run, 8))
 
     def test_read_without_asking_the_backups(self) -> None:
@@ -361,7 +362,7 @@
             self.assertEqual("linearizable", self.found(lambda seed: control.run(seed, plan), 12))
 
     def test_acknowledged_without_the_backups(self) -> None:
-        with mock.patch.object(Office, "counted", property(lambda office: [])):
+        with mock.patch.object(PartitionLeader, "required", property(lambda leader: [])):
             self.assertNotEqual("", self.found(jobs.run, 8))
 
     def test_disk_that_syncs_nothing(self) -> None:
