--- a/otterreach/controller/api/retirement.py
+++ b/otterreach/controller/api/retirement.py
@@ -18,6 +18,8 @@
     write,
 )
 from otterreach.controller.messages import Operate, Operated
+from otterreach.controller.planner import Part, Stores
+from otterreach.controller.spread import Place, Spread
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.identity import member
 from otterreach.runtime.log import log
@@ -31,12 +33,16 @@
     """Orders to empty a store machine. An order is for the disk that the machine has when it comes."""
 
     def __init__(
-        self, control: ControlState, published: ReplicatedStore, living: Callable[[], set[str]], copies: int
+        self,
+        control: ControlState,
+        published: ReplicatedStore,
+        living: Callable[[], Stores | None],
+        wanted: Spread,
     ) -> None:
         self.control = control
         self.published = published  # what all copies have
-        self.living = living  # store machines that were heard of lately, as node#disk
-        self.copies = copies  # of each batch job
+        self.living = living  # job store nodes that were heard of lately; None while that is not known yet
+        self.wanted = wanted  # of the copies of each batch job
 
     async def handle(self, call: Operate) -> Operated:
         node = last_segment(call.path)
@@ -53,13 +59,23 @@
         order = self.published.get(f"retire/{node}")
         if not _is_for(order, known):
             return SERVING if known else NOT_FOUND
-        name = member(node, order["disk"])
-        holders = {
-            holder
-            for partition in self.published.named("part").values()
-            for holder in (partition["primary"], *partition["backups"], *partition["joining"])
-        }
-        return SERVING if name in holders else DONE
+        return DONE if self._given_on(member(node, order["disk"])) else SERVING
+
+    def _given_on(self, leaving: str) -> bool:
+        """Whether every partition is at full strength without this member, by records that all controllers have.
+
+        Members hold every acknowledged write on disk; learners may not, and whoever is not heard of doesn't count.
+        """
+        stores = self.living()
+        if stores is None:
+            return False
+        target = stores.attainable(self.wanted)
+        for record in (Part.read(raw) for raw in self.published.named("part").values()):
+            if leaving in (*record.members, *record.learners):
+                return False
+            if not target.holds(stores.sound(record.members), stores.places):
+                return False
+        return True
 
     async def _begin(self, node: str) -> Operated:
         state = self.control.state
@@ -69,21 +85,32 @@
         if known is None:
             return await when_committed(self.control, refusal(Failure(Code.UNKNOWN_NODE, node)))
         staying = self._staying(node)
-        if len(staying) < self.copies:
-            reason = f"{len(staying)} others"
+        before = self.wanted.attainable(staying | {node: Place(known["zone"], known["region"])})
+        reason = self._too_few(staying, before)
+        if reason:
             return await when_committed(self.control, refusal(Failure(Code.TOO_FEW_LEFT, reason)))
-        if len(staying & self.living()) < self.copies:
+        stores = self.living()
+        if stores is None or self._too_few({m: p for m, p in staying.items() if m in stores.places}, before):
             return UNCLEAR  # some are silent just now: whether too few would be left is not known
         done = await write(self.control, [(f"retire/{node}", encode_item({"disk": known["disk"]}))])
         log("retire", store=node, done=done)
         return OK if done else UNCLEAR
 
-    def _staying(self, node: str) -> set[str]:
+    def _too_few(self, staying: dict[str, Place], before: Spread) -> str:
+        """Why these can't keep all copies as widely spread as before; empty if they can."""
+        if len(staying) < self.wanted.nodes:
+            return f"{len(staying)} others"
+        after = self.wanted.attainable(staying)
+        if after != before:
+            return f"{after.zones} zones and {after.regions} regions would be left"
+        return ""
+
+    def _staying(self, node: str) -> dict[str, Place]:
         """The other store machines, as node#disk, less those that are being emptied."""
         state = self.control.state
         orders = state.named("retire")
         return {
-            member(name, known["disk"])
+            member(name, known["disk"]): Place(known["zone"], known["region"])
             for name, known in state.named("member").items()
             if name != node and known["role"] == "store" and not _is_for(orders.get(name), known)
         }
