--- a/otterreach/runtime/codec.py
+++ b/otterreach/runtime/codec.py
@@ -180,7 +180,7 @@
     for number in sorted(REGISTRY):
         if REGISTRY[number].__module__ == module:
             add(REGISTRY[number])
-    lines = [f"namespace {module.split('.')[0]};", ""]
+    lines = [f"namespace {module.rpartition('.')[0]};", ""]
     for name, cls in classes.items():
         number = NUMBERS.get(cls, 0)
         lines.append(f"table {name} {{" + (f"  // message {number}" if number else ""))
--- a/otterreach/simulation/planted.py
+++ b/otterreach/simulation/planted.py
@@ -11,7 +11,7 @@
 import inspect
 import sys
 import textwrap
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -19,8 +19,9 @@
 
 from otterreach.simulation import control, jobs
 from otterreach.simulation.explore import SCENARIOS, explore
+from otterreach.simulation.world import World
 
-RUNS = {"control": control.run, "jobs": jobs.run}
+RUNS: dict[str, Callable[..., tuple[World, Any]]] = {"control": control.run, "jobs": jobs.run}
 EXPLORE_STATES = 3000  # a search without a find ends, and another order is tried
 
 
