A candidate whose number was promised to another during its probe does not stand with it

Cause: _collect_promises looked only whether its promise differed from the number after the probe. Change: after the probe it gives up if it has promised that number or a higher one.

--- a/otterreach/controller/election.py
+++ b/otterreach/controller/election.py
@@ -158,7 +158,9 @@
             if was_primary:
                 replica.step_down("no majority would promise")
             return None
-        replica.promise(max(replica.promised, number))
+        if replica.promised >= number:
+            return None  # promised to another during the probe: nobody promises one number twice, not to itself either
+        replica.promise(number)
         if not was_primary:
             replica.become(Mode.CANDIDATE, f"stands for {number}")
         if not await replica.sync() or replica.promised != number:
