Simulation: controllers come and go, zones are lost, and what another loss would leave is checked

Cause: the model had five controllers for ever; membership and survive.zones had no run. Change: 3, 5 or 7 controllers; joins, planned and unplanned replacement at the same or another address, restarts in turn, other seeds, losses of a whole zone; from syncS after the last trouble each allowed loss has to leave a majority of the witnesses in force and a member, and every member has all that was acknowledged.

--- a/otterreach/simulation/control.py
+++ b/otterreach/simulation/control.py
@@ -27,7 +27,8 @@
 CONTACT_S, ACK_S, APPLY_S = 3.0, 4.0, 2.0
 THAW_S = 0.3
 START_S = 8.0
-CHECK_S = 1.0  # between looks at the history
+SYNC_S = 4.5
+CHECK_S = 1.0  # between looks at the history, and at what another loss would leave
 CLOSE_S = 5.0  # for a caller to come to its end
 
 
@@ -40,11 +41,17 @@
     operators: int = 2
     servers: int = 3
     survive_nodes: int = 1
+    survive_zones: int = 0
+    members: bool = True  # controllers come and go
     lost_share: float = 0.0  # of the answers to callers
 
     @classmethod
     def draw(cls, random: Random) -> Setup:
+        controllers = random.choice([3, 5, 5, 7])
         return cls(
+            controllers=controllers,
+            survive_nodes=random.choice([1, 1, 2]) if controllers > 3 else 1,
+            survive_zones=random.choice([0, 1]),
             operators=random.choice([2, 2, 2, 8]),
             lost_share=random.choice([0.0, 0.0, 0.05, 0.3]),
         )
@@ -64,7 +71,9 @@
         cores = world.of_role("core")
         world.seeds = [box.ip for box in cores[:3]]
         names, others = [box.name for box in cores], [box.name for box in world.of_role("front")]
-        self.plan = faults.draw(Random(world.seed ^ 0xFA), names, others, world.survive, leader=True)
+        self.plan = faults.draw(
+            Random(world.seed ^ 0xFA), names, others, world.survive, True, setup.members, setup.survive_zones > 0
+        )
         self.troubles: faults.Troubles | None = None
         self.history = History(world.expect)
         self.invariants = ControlInvariants(world, self.history)
@@ -132,6 +141,8 @@
         while not self.stopping:
             await asyncio.sleep(CHECK_S)
             self.history.check()
+            if self.troubles is not None and self.troubles.calm_for() > SYNC_S:
+                self.invariants.check_strength()
 
     # Promises with a time in them ------------------------------------------------------------------
 
@@ -170,7 +181,7 @@
 def run(seed: int, plan: faults.Plan | None = None, setup: Setup | None = None) -> tuple[World, faults.Plan]:
     """Play one seed, with its own plan of faults and setup or others."""
     drawn = setup or Setup.draw(Random(seed ^ 0x5E7))
-    world = World(seed, survive=drawn.survive_nodes, slas=SLAS)
+    world = World(seed, drawn.survive_nodes, SLAS, drawn.survive_zones)
     scenario = Scenario(world, drawn)
     if plan is not None:
         scenario.plan = plan
--- a/otterreach/simulation/faults.py
+++ b/otterreach/simulation/faults.py
@@ -7,13 +7,18 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from otterreach.simulation.world import Box, World
+from otterreach.simulation.member_changes import MEMBER_KINDS, MemberChanges
+from otterreach.simulation.world import ZONES, Box, World
 
 KINDS = ("kill", "power", "freeze", "late_freeze", "cut", "one_way", "reset", "slow_link", "slow_disk")
 CALM_S = 9.0  # syncS, and time for clients
 LEADER = "leader"  # in place of a name: the machine that leads when the fault begins
 FIRST_S = 4.0
 LEADER_SHARE = 0.3
+ZONE = "zone:"  # and the name of a zone, in place of a name: all controllers there
+LOSS_SHARE = 0.4
+MEMBER_SHARE = 0.4
+REPLACE_S = (5.0, 8.0)  # syncS and more: the new one has to be there
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,9 +44,18 @@
         return replace(self, faults=self.faults[:index] + self.faults[index + 1 :])
 
 
-def draw(random: Random, names: list[str], others: list[str], wipes: int, leader: bool = False) -> Plan:
+def draw(
+    random: Random,
+    names: list[str],
+    others: list[str],
+    wipes: int,
+    leader: bool = False,
+    members: bool = False,
+    zone_loss: bool = False,
+) -> Plan:
     """`names`: machines that count, of which `wipes` may lose their disks at once; `others`: those without a disk.
-    `leader`: some faults are on the machine that leads at that time.
+    `leader`: some faults are on the machine that leads at that time; `members`: some of the machines that count are
+    replaced, or others join; `zone_loss`: all machines of a zone may be lost at once.
 
     A machine that stands still or is cut off counts as lost too, so a disk goes only while nothing else is wrong with
     those that count, or while all of them lose power.
@@ -52,7 +66,11 @@
     for _ in range(random.randint(1, 3)):
         calm.append((faults[-1].at if faults else 0.0, at))
         length = random.uniform(1.0, 7.0)
-        if wipes and random.random() < 0.4:
+        if members and random.random() < MEMBER_SHARE:
+            episode = [_member_change(random, names, at)]
+        elif zone_loss and random.random() < LOSS_SHARE:
+            episode = [_zone_loss(random, at)]
+        elif wipes and random.random() < LOSS_SHARE:
             episode = _loss(random, names, others, at, length, wipes)
         else:
             episode = [_one(random, names, others, at, length, leader) for _ in range(random.randint(1, 7))]
@@ -65,6 +83,18 @@
     return Plan(tuple(faults), tuple(spans), at)
 
 
+def _member_change(random: Random, names: list[str], at: float) -> Fault:
+    kind = random.choice(MEMBER_KINDS)
+    duration = random.uniform(*REPLACE_S) if kind in ("replace", "restart_in_turn") else _duration(random)
+    name = LEADER if random.random() < LEADER_SHARE else random.choice(names)
+    return Fault(at, kind, (name,), duration)
+
+
+def _zone_loss(random: Random, at: float) -> Fault:
+    kind = random.choice(["wipe", "power", "kill", "cut", "freeze"])
+    return Fault(at, kind, (ZONE + random.choice(ZONES),), _duration(random))
+
+
 def _loss(random: Random, names: list[str], others: list[str], at: float, length: float, wipes: int) -> list[Fault]:
     """Disks go, as many as the system has to bear at once; at times while all else that counts loses power."""
     start = at + random.uniform(0.0, length)
@@ -109,6 +139,8 @@
         self.world, self.plan = world, plan
         self.active: list[Fault] = []
         self.leader: Callable[[], str] = lambda: ""  # name of the machine that leads
+        self.members = MemberChanges(world)
+        self._gone: dict[Fault, list[Box]] = {}  # machines of a member change, which may have left the world
         self._began: dict[Fault, Fault] = {}  # with the names that were meant
         self.last_change = 0.0
         self.thawed: dict[str, float] = {}  # by machine, when last
@@ -123,20 +155,31 @@
         return 0.0 if self.active else self.world.now - max(self.last_change, self.start)
 
     def _boxes(self, fault: Fault) -> list[Box]:
-        return [self.world.boxes[name] for name in fault.on]
+        """Those that are still there."""
+        return [self.world.boxes[name] for name in fault.on if name in self.world.boxes]
 
     def _named(self, fault: Fault) -> Fault:
         """The fault with the name of the machine that leads now."""
-        if LEADER not in fault.on:
-            return fault
-        on = {self.leader() if name == LEADER else name for name in fault.on}
-        return replace(fault, on=tuple(sorted(on - {""})))
+        on: set[str] = set()
+        for name in fault.on:
+            if name == LEADER:
+                on.add(self.leader())
+            elif name.startswith(ZONE):
+                zone = name.removeprefix(ZONE)
+                on.update(box.name for box in self.world.of_role("core") if box.zone == zone)
+            else:
+                on.add(self.members.present(name))
+        return replace(fault, on=tuple(sorted(on & set(self.world.boxes))))
 
     def _begin(self, planned: Fault) -> None:
         fault = self._began[planned] = self._named(planned)
         self.active.append(fault)
         self.last_change = self.world.now
         self.world.lines.append(f"{self.world.now:9.3f} FAULT {fault}")
+        if fault.kind in MEMBER_KINDS:
+            self._gone[fault] = self._boxes(fault)
+            for box in self._gone[fault]:
+                self.members.begins[fault.kind](box, fault.for_s)
         for box in self._boxes(fault):
             if fault.kind == "kill":
                 box.kill()
@@ -153,11 +196,14 @@
         self.active.remove(fault)
         self.last_change = self.world.now
         self.world.lines.append(f"{self.world.now:9.3f} OVER  {fault}")
+        for box in self._gone.pop(fault, []):
+            if fault.kind in self.members.ends:
+                self.members.ends[fault.kind](box)
         for box in self._boxes(fault):
             held = {f.kind for f in self.active if box.name in f.on}
             if not held & {"power", "wipe"}:
                 self.world.net.power_on(box.ip)
-                if "kill" not in held and not box.up:
+                if "kill" not in held and not box.up and box.wanted:
                     box.start()
             if not held & {"freeze", "late_freeze"}:
                 box.thaw()
--- a/otterreach/simulation/invariants.py
+++ b/otterreach/simulation/invariants.py
@@ -5,11 +5,13 @@
 
 import asyncio
 import json
+from itertools import combinations
 from typing import Any
 
+from otterreach.controller.epochs import is_majority
 from otterreach.controller.replication import Control
 from otterreach.simulation.history import History
-from otterreach.simulation.world import Box, World
+from otterreach.simulation.world import ZONES, Box, World
 
 RANKS = {"up": 0, "draining": 1}
 GONE = 2
@@ -98,6 +100,29 @@
             what = f"{key} {rev} at {control.settings.node} in {control.number}"
             self.world.expect(item and item.rev >= rev, "acknowledged is gone", what)
 
+    def check_strength(self) -> None:
+        """With any further loss that is allowed, a majority of the witnesses in force is left, and a member."""
+        leading = [control for _, control in self.controls() if control.is_primary]
+        for control in leading:
+            configuration = control.accepted
+            assert configuration is not None
+            for lost in self._allowed_losses():
+                left = {c.id for box, c in self.controls() if box.name not in lost}
+                what = f"{sorted(lost)} of {configuration}"
+                self.world.expect(is_majority(left, configuration), "majority after a loss", what)
+                self.world.expect(left & set(configuration.members), "member after a loss", what)
+        for _, control in self.controls():
+            if control.accepted and any(control.id in c.accepted.members for c in leading if c.accepted):
+                self.check_acknowledged(control)
+
+    def _allowed_losses(self) -> list[set[str]]:
+        """Names of machines that may be lost together."""
+        cores = self.world.of_role("core")
+        losses = [set(names) for names in combinations([box.name for box in cores], self.world.survive)]
+        for zones in combinations(ZONES, self.world.survive_zones):
+            losses.append({box.name for box in cores if box.zone in zones})
+        return losses
+
     def check_end(self) -> None:
         """After all trouble: one primary, and what callers were told is there."""
         primaries = [c for _, c in self.controls() if c.is_primary]
--- a/otterreach/simulation/world.py
+++ b/otterreach/simulation/world.py
@@ -75,7 +75,7 @@
             "datadir": "/nowhere",
             "heartbeatMs": 1200,
             "inForce": ["base"],
-            "survive": {"nodes": self.world.survive},
+            "survive": {"nodes": self.world.survive, "zones": self.world.survive_zones, "regions": 0},
             "slas": self.world.slas,
         }
         return settings.read(raw)
@@ -95,16 +95,14 @@
         process = self.process = Process(self.name, self.ip)
         self.world.processes.append(process)
         task = process.start(self.world.loop, self._run())
-        task.add_done_callback(self._over)
+        task.add_done_callback(lambda done: self._over(done, process))
 
     async def _run(self) -> None:
         await self.main(self)
 
-    def _over(self, task: asyncio.Task[None]) -> None:
+    def _over(self, task: asyncio.Task[None], process: Process) -> None:
         if not task.cancelled() and (error := task.exception()):
             self.world.broken(Broken("ended by itself", f"{self.name}: {error!r}"))
-        process = OWNER.get()
-        assert process is not None
         self.world.plainly(RESTART_S, self._again, process)
 
     def _again(self, process: Process) -> None:
@@ -121,6 +119,11 @@
             self.first = False
             self.node = self.object = None
 
+    def terminate(self) -> None:
+        """SIGTERM; it is started again if it is wanted."""
+        if self.runs and self.node is not None and self.process is not None:
+            self.world.loop.call_as(self.process, self.node.stopping.set)
+
     def power_off(self, wipe: bool = False) -> None:
         self.world.net.power_off(self.ip)
         self.kill()
@@ -147,13 +150,14 @@
 class World:
     """One run: everything in it follows from the seed."""
 
-    def __init__(self, seed: int, survive: int = 1, slas: dict[str, Any] | None = None) -> None:
-        self.seed, self.survive = seed, survive
+    def __init__(self, seed: int, survive: int = 1, slas: dict[str, Any] | None = None, survive_zones: int = 0) -> None:
+        self.seed, self.survive, self.survive_zones = seed, survive, survive_zones
         self.slas = slas or {}
         self.random = Random(seed)
         self.loop = VirtualLoop()
         self.net = Network(self.loop, Random(seed ^ 0x5EED))
         self.boxes: dict[str, Box] = {}
+        self._addresses = [0] * len(ZONES)  # given out, by zone
         self.processes: list[Process] = []  # the dead too, see Process.tasks
         self.seeds: list[str] = []
         self.lines: deque[str] = deque(maxlen=LINES)
@@ -168,9 +172,12 @@
         self._summary: Callable[[], Any] = lambda: None
         self.loop.after = self._after
 
-    def add(self, name: str, role: str, zone: int, main: Main) -> Box:
-        number = sum(b.zone == ZONES[zone] for b in self.boxes.values()) + 1
-        box = self.boxes[name] = Box(self, name, role, f"10.{zone + 1}.0.{number}", ZONES[zone], main)
+    def add(self, name: str, role: str, zone: int, main: Main, ip: str = "") -> Box:
+        """A machine at a new address, or at one that another has left."""
+        if not ip:
+            self._addresses[zone] += 1
+            ip = f"10.{zone + 1}.0.{self._addresses[zone]}"
+        box = self.boxes[name] = Box(self, name, role, ip, ZONES[zone], main)
         return box
 
     def of_role(self, role: str) -> list[Box]:
