Controllers: no answer without a majority of the witnesses

A primary asked its backups alone: cut off together with them it went on to acknowledge, read and refuse, though the majority's side could not follow. Without it every call ends with 503 within 0.45 s, and after 0.45 s without a majority at once. Followers pass calls on only while they hear the primary. Refusals are confirmed outside the lock of changes, so that calls that wait behind one another still end in time.

--- /dev/null
+++ b/otterreach/controller/contact.py
@@ -0,0 +1,74 @@
+"""When each witness last answered the primary, and whether a majority did so a moment ago.
+
+Times are the steady clock of the primary, and count from when it asked: an answer that was held up passes for no newer
+one than its question.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from otterreach.controller.epochs import EpochConfiguration, is_majority
+
+FRESH_S = 0.45  # a primary that a majority of the witnesses has not answered for longer serves nothing
+
+
+@dataclass(slots=True)
+class WitnessContact:
+    """What the primary knows of a witness."""
+
+    answered_at: float  # when the last heartbeat that it answered well was sent
+    in_flight: int = 0
+
+
+class WitnessContacts:
+    """The contacts of one epoch's primary."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.by_id: dict[str, WitnessContact] = {}
+        self.configuration: EpochConfiguration | None = None
+        self._changed = asyncio.Event()
+
+    def begin_epoch(self, configuration: EpochConfiguration, own: str) -> None:
+        """All witnesses count as heard now: the configuration has just come into force."""
+        now = self.clock()
+        self.configuration = configuration
+        self.by_id = {w.id: WitnessContact(now) for w in configuration.witnesses if w.id != own}
+        self.wake()
+
+    def answered(self, ident: str, asked_at: float) -> None:
+        """This witness said that the epoch holds, when it was asked then."""
+        contact = self.by_id[ident]
+        contact.answered_at = max(contact.answered_at, asked_at)
+        self.wake()
+
+    def wake(self) -> None:
+        """Let those look again who wait for a majority."""
+        self._changed.set()
+
+    def silence(self) -> dict[str, float]:
+        """Seconds since each was last in touch."""
+        now = self.clock()
+        return {ident: now - contact.answered_at for ident, contact in self.by_id.items()}
+
+    def has_majority(self, since: float | None = None) -> bool:
+        """Whether a majority of the witnesses, this controller included, answered what was asked since then; else
+        since FRESH_S ago."""
+        configuration = self.configuration
+        if configuration is None:
+            return False
+        begin = self.clock() - FRESH_S if since is None else since
+        silent = {ident for ident, contact in self.by_id.items() if contact.answered_at < begin}
+        return is_majority([w.id for w in configuration.witnesses if w.id not in silent], configuration)
+
+    async def wait_for_majority(self, since: float, may_go_on: Callable[[], bool]) -> bool:
+        """True once a majority has answered what was asked since then; False once `may_go_on` does not hold."""
+        while may_go_on():
+            if self.has_majority(since):
+                return True
+            self._changed.clear()
+            await self._changed.wait()
+        return False
--- a/otterreach/controller/handlers.py
+++ b/otterreach/controller/handlers.py
@@ -22,6 +22,9 @@
 from otterreach.sidecar import http1
 
 FORWARD_S = 0.9
+FORWARD_CHECK_S = 0.05  # between two looks whether the primary that a call was passed on to is still heard
+LOCK_S = 0.4  # a change that waits longer for the ones before it is answered 503
+COPY_YOUNG_S = 1.0  # a heartbeat of a server that says nothing new is answered by a copy no older than this
 TAKEN = 64  # changes remembered, so that one sent again is known
 UNSURE = Reply(503)
 
@@ -48,8 +51,16 @@
             return await self._get()
         if ask.method not in ("PUT", "PATCH"):
             return _status(405)
-        async with self._lock:
-            return await self._change(ask)
+        try:
+            async with asyncio.timeout(LOCK_S):
+                await self._lock.acquire()
+        except TimeoutError:
+            return _status(503)
+        try:
+            found = await self._change(ask)
+        finally:
+            self._lock.release()
+        return found if isinstance(found, Operated) else await self._confirmed(found)
 
     async def _get(self) -> Operated:
         if not await self.control.confirm():
@@ -57,7 +68,8 @@
         item = self.store.items.get("config")
         return Operated(200, item.value) if item and not item.gone else _status(404)
 
-    async def _change(self, ask: Operate) -> Operated:
+    async def _change(self, ask: Operate) -> Operated | config.Verdict | Failure:
+        """The answer to a change that was taken up; or why it is not: refused, or known already."""
         match = config.parse_if_match(ask.match)
         if isinstance(match, Failure):
             return _status(400, match)
@@ -67,6 +79,10 @@
         found = check(ask.body, current, match, taken)
         if isinstance(found, dict):
             return await self._take(found, config.fingerprint(ask.body, match), taken)
+        return found
+
+    async def _confirmed(self, found: config.Verdict | Failure) -> Operated:
+        """A refusal, or the word that it was taken before: only by a primary that surely is one."""
         if not await self.control.confirm():
             return _status(503)
         if isinstance(found, Failure):
@@ -252,7 +268,7 @@
         """A heartbeat that says nothing new is noted here; only changes go to the primary."""
         ident = ask.path.rpartition("/")[2]
         self.heard(ident)
-        if ask.method != "PUT":
+        if ask.method != "PUT" or self.control.copy_age_s() > COPY_YOUNG_S:
             return False
         value, old = read_server(ask.body), self.store.get(f"server/{ident}")
         return not isinstance(value, Failure) and (same_server(old, value) or self._ahead(old, value))
@@ -267,10 +283,19 @@
     async def _decide(self, ask: Operate) -> Operated | Failure:
         if self.control.is_primary:
             return await self.resources[ask.path.strip("/").partition("/")[0]].handle(ask)
-        address = self.control.primary_address
+        return await self._forward(ask)
+
+    async def _forward(self, ask: Operate) -> Operated | Failure:
+        """The primary's answer; a Failure as soon as the primary is not heard any more."""
+        address = self.control.heard_primary_address
         if not address:
-            return Failure(Code.NOT_PRIMARY, "no primary known")
-        answer: Operated | Failure = await self.control.endpoint.call(address, ask, FORWARD_S)
+            return Failure(Code.NOT_PRIMARY, "no primary is heard")
+        call = self.control.endpoint.spawn(self.control.endpoint.call(address, ask, FORWARD_S))
+        while not call.done():
+            await asyncio.wait([call], timeout=FORWARD_CHECK_S)
+            if not call.done() and self.control.heard_primary_address != address:
+                return Failure(Code.TIMED_OUT, "the primary is not heard any more")
+        answer: Operated | Failure = call.result()
         return answer
 
     async def _operate(self, link: Link, ask: Operate) -> Operated | Failure:
--- a/otterreach/controller/membership.py
+++ b/otterreach/controller/membership.py
@@ -45,10 +45,12 @@
 
     async def reconcile_members(self) -> None:
         """Replace backups that are lost, take joiners in, let go of what is silent."""
-        configuration, now = self.replica.accepted, self.replica.loop.time()
+        configuration = self.replica.accepted
         assert configuration is not None
-        silent = {i: now - contact.answered_at for i, contact in self.primary.contacts.items()}
+        silent = self.primary.contacts.silence()
         lost = [b for b in configuration.backups if silent.get(b, 0.0) > BACKUP_LOST_S]
+        if not lost and not self.primary.contacts.has_majority():
+            return  # all members are here: nobody else may lead, and no change can come into force
         add = [j for j in self.joiners.values() if configuration.witness(j.id) is None]
         self.joiners.clear()
         drop = self._to_drop(silent, add)
--- a/otterreach/controller/replica_state.py
+++ b/otterreach/controller/replica_state.py
@@ -23,6 +23,7 @@
 # Kinds of journal records.
 IDENTITY, PROMISE, CONFIGURATION, ITEMS, SNAPSHOT = 1, 2, 3, 4, 5
 PRIMARY_ADDRESS_VALID_S = 2.0  # how long the primary's address is taken for true after it was last heard
+PRIMARY_SILENT_S = 0.5  # silent for longer: no call is passed on to it
 
 
 class Mode(Enum):
@@ -128,9 +129,17 @@
     @property
     def primary_address(self) -> str:
         """Where the primary is, as far as is known here."""
+        return self._primary_heard_within(PRIMARY_ADDRESS_VALID_S)
+
+    @property
+    def heard_primary_address(self) -> str:
+        """Where the primary is that was heard a moment ago; empty if none was."""
+        return self._primary_heard_within(PRIMARY_SILENT_S)
+
+    def _primary_heard_within(self, seconds: float) -> str:
         if self.is_primary:
             return self.settings.address
-        if self.accepted and self.loop.time() - self.primary_heard_at < PRIMARY_ADDRESS_VALID_S:
+        if self.accepted and self.loop.time() - self.primary_heard_at < seconds:
             found = self.accepted.witness(self.accepted.primary)
             return found.address if found else ""
         return ""
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -89,6 +89,15 @@
         """Where the primary is, as far as is known here."""
         return self.replica.primary_address
 
+    @property
+    def heard_primary_address(self) -> str:
+        """Where the primary is that was heard a moment ago; empty if none was."""
+        return self.replica.heard_primary_address
+
+    def copy_age_s(self) -> float:
+        """How old the published state may be here."""
+        return self.follower.age_s()
+
     async def confirm(self) -> bool:
         """Whether this is the primary now. Before a read."""
         return await self.primary.confirm()
--- /dev/null
+++ b/tests/controller_world.py
@@ -0,0 +1,146 @@
+"""A small core of controllers in the simulation's world, for tests that bring one trouble about by hand."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import zlib
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import replace
+from random import Random
+from typing import Any
+
+from otterreach.controller.node import ControllerNode
+from otterreach.controller.replication import Control
+from otterreach.runtime.node import Node
+from otterreach.runtime.rpc import Endpoint
+from otterreach.simulation import client
+from otterreach.simulation.control import SLAS
+from otterreach.simulation.world import CTL, Box, World
+
+START_S = 6.0
+POLL_S = 0.02
+
+
+class Cluster:
+    """Controllers core-0, core-1, ... in the zones given; the first three are the seeds."""
+
+    def __init__(self, zones: Iterable[int] = (0, 1, 2, 0, 1), seed: int = 1, **survive: int) -> None:
+        self.world = World(seed, slas=SLAS)
+        self.survive = {f"survive_{kind}": count for kind, count in survive.items()}
+        for number, zone in enumerate(zones):
+            self.world.add(f"core-{number}", "core", zone, self._controller)
+        self.boxes = self.world.of_role("core")
+        self.world.seeds = [box.ip for box in self.boxes[:3]]
+
+    async def _controller(self, box: Box) -> None:
+        settings = replace(box.settings(), **self.survive)  # type: ignore[arg-type]
+        random = Random(zlib.crc32(f"{self.world.seed} {box.name} {box.lives}".encode()))
+        box.node = Node(settings, Endpoint(), random)
+        journal = box.journal()
+        records = journal.read()
+        box.object = ControllerNode(settings, box.node, journal)  # type: ignore[arg-type]
+        await box.object.run(records)
+
+    def play(self, scene: Callable[[Cluster], Awaitable[None]]) -> None:
+        """Start all, wait until all are in the configuration, then run the scene."""
+
+        async def whole() -> None:
+            for box in self.boxes:
+                self.world.plainly(0.0, box.start)
+            await self.until(self._complete, START_S, "all in one configuration")
+            status, _ = await self.put(self.primary, 0, 1, "first")
+            assert status == 200, status
+            await asyncio.sleep(0.5)
+            await scene(self)
+
+        self.world.run(whole)
+        if self.world.failure is not None:
+            raise AssertionError(f"{self.world.failure}\n" + "\n".join(list(self.world.lines)[-60:]))
+
+    def _complete(self) -> bool:
+        primaries = self.primaries()
+        if len(primaries) != 1:
+            return False
+        configuration = self.control(primaries[0]).accepted
+        return configuration is not None and len(configuration.witnesses) == len(self.boxes)
+
+    async def until(self, holds: Callable[[], Any], within_s: float, what: str) -> float:
+        """Seconds until it holds; an error if it does not in time."""
+        began = self.world.now
+        while not holds():
+            assert self.world.now - began < within_s, f"{what}: not within {within_s} s"
+            await asyncio.sleep(POLL_S)
+        return self.world.now - began
+
+    # Who is what ---------------------------------------------------------------------------------
+
+    def control(self, box: Box) -> Control:
+        control: Control = box.object.control
+        return control
+
+    def primaries(self) -> list[Box]:
+        return [box for box in self.boxes if box.up and box.object and self.control(box).is_primary]
+
+    @property
+    def primary(self) -> Box:
+        """The primary of the highest epoch."""
+        return max(self.primaries(), key=lambda box: self.control(box).number)
+
+    def led_by(self, boxes: Iterable[Box]) -> bool:
+        """Whether one of these is a primary."""
+        return any(box in boxes for box in self.primaries())
+
+    def named(self, idents: Iterable[str]) -> list[Box]:
+        """The machines of these ids."""
+        wanted = set(idents)
+        return [box for box in self.boxes if box.object and self.control(box).id in wanted]
+
+    @property
+    def backups(self) -> list[Box]:
+        configuration = self.control(self.primary).accepted
+        assert configuration is not None
+        return self.named(configuration.backups)
+
+    def others(self, *inside: Box) -> list[Box]:
+        return [box for box in self.boxes if box not in inside]
+
+    # Trouble -------------------------------------------------------------------------------------
+
+    def cut(self, inside: Iterable[Box], outside: Iterable[Box], both_ways: bool = True) -> None:
+        """Nothing passes from one side to the other any more."""
+        self.world.net.cut([b.ip for b in inside], [b.ip for b in outside], both_ways=both_ways)
+
+    def isolate(self, *inside: Box) -> None:
+        self.cut(inside, self.others(*inside))
+
+    def heal(self) -> None:
+        self.world.net.heal()
+
+    # Callers -------------------------------------------------------------------------------------
+
+    async def call(
+        self, box: Box, method: str, path: str, body: bytes = b"", match: int | None = None, timeout_s: float = 1.0
+    ) -> tuple[int, float, bytes]:
+        """Status (0: no answer), seconds and body of a call over HTTP."""
+        headers = {} if match is None else {b"If-Match": str(match).encode()}
+        began = self.world.now
+        response = await client.ask(f"{box.ip}:{CTL}", method, path, body, headers, timeout_s)
+        took = self.world.now - began
+        return (response.status, took, response.body) if response else (0, took, b"")
+
+    async def put(self, box: Box, base: int, gen: int, name: str) -> tuple[int, float]:
+        """Status and seconds of a change of the configuration."""
+        status, took, _ = await self.call(box, "PUT", "/config", configuration_of(gen, name), base)
+        return status, took
+
+    async def get(self, box: Box) -> tuple[int, float, int]:
+        """Status, seconds, and the number of the configuration."""
+        status, took, body = await self.call(box, "GET", "/config")
+        return status, took, json.loads(body)["gen"] if status == 200 else 0
+
+
+def configuration_of(gen: int, name: str) -> bytes:
+    """A valid configuration with one route of this name."""
+    route = {"name": name, "host": "h.example", "prefix": "/p/", "kind": "idem", "timeoutMs": 1, "backend": "b"}
+    return json.dumps({"gen": gen, "routes": [route], "backends": [{"name": "b"}]}).encode()
