Controllers: replicas and voters so that any allowed loss leaves enough

The controllers counted machines alone. Backups are now the fewest that, with the primary, leave a replica after the loss of survive.nodes machines, or survive.zones zones, or survive.regions regions; witnesses are chosen so that each of these leaves a majority, and a silent one is let go only while the others still bear them. Sites that state machines alone get the same configurations as before.

A witness that is silent keeps its silence over changes of the same primary, so it makes room 3 s after it was last heard, not 3 s after the last change.

--- a/otterreach/controller/acceptor.py
+++ b/otterreach/controller/acceptor.py
@@ -40,6 +40,8 @@
         replica = self.replica
         if not replica.accepted or ask.number <= replica.promised:
             return True
+        if ask.transfer:
+            return False
         if replica.is_primary:
             return ask.candidate != replica.id
         silence = replica.loop.time() - replica.primary_heard_at
--- a/otterreach/controller/contact.py
+++ b/otterreach/controller/contact.py
@@ -32,11 +32,14 @@
         self.configuration: EpochConfiguration | None = None
         self._changed = asyncio.Event()
 
-    def begin_epoch(self, configuration: EpochConfiguration, own: str) -> None:
-        """All witnesses count as heard now: the configuration has just come into force."""
-        now = self.clock()
+    def begin_epoch(self, configuration: EpochConfiguration, own: str, was_primary: bool) -> None:
+        """The configuration has just come into force. Its members count as heard now; of the others what the same
+        primary knew before goes on, so that one that is gone is not taken for new at each change."""
+        now, before = self.clock(), self.by_id if was_primary else {}
         self.configuration = configuration
         self.by_id = {w.id: WitnessContact(now) for w in configuration.witnesses if w.id != own}
+        for ident in self.by_id.keys() & before.keys() - set(configuration.backups):
+            self.by_id[ident].answered_at = before[ident].answered_at
         self.wake()
 
     def answered(self, ident: str, asked_at: float) -> None:
--- a/otterreach/controller/membership.py
+++ b/otterreach/controller/membership.py
@@ -3,11 +3,12 @@
 
 from __future__ import annotations
 
-from otterreach.controller.election import CALL_S, Election
-from otterreach.controller.epochs import ControllerInfo
+from otterreach.controller.election import CALL_S, Election, MembershipChange
+from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
 from otterreach.controller.messages import JoinRequest
 from otterreach.controller.primary import Primary
 from otterreach.controller.replica_state import Mode, ReplicaState
+from otterreach.controller.survival import choose_replicas, choose_voters, may_remove_voter
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.log import log
 from otterreach.runtime.relay import Follower
@@ -15,6 +16,8 @@
 
 BACKUP_LOST_S = 0.5  # a backup silent for so long is replaced
 WITNESS_LOST_S = 3.0  # a witness silent for so long may make room
+LEAVING_S = 10.0  # one that said that it ends gets no copy for so long
+IMPROVE_S = 2.0  # between two tries to make the backups bear every allowed loss
 JOIN_S = 0.3  # between two requests to join, and of silence before the first
 
 
@@ -28,6 +31,8 @@
         self.election, self.primary = election, primary
         self.settings = replica.settings
         self.joiners: dict[str, ControllerInfo] = {}
+        self._leaving: dict[str, float] = {}  # who said that it ends, and when
+        self._improved_at = -IMPROVE_S
         self.asked_to_join_at = replica.loop.time()
         endpoint.on(JoinRequest, self.join)
 
@@ -43,34 +48,59 @@
             self.joiners[controller.id] = controller
         return Done()
 
+    def note_leaving(self, ident: str) -> None:
+        """This controller is about to end: no copy goes to it for a while."""
+        self._leaving[ident] = self.replica.loop.time()
+
+    @property
+    def leaving(self) -> frozenset[str]:
+        """Those that said a moment ago that they end."""
+        now = self.replica.loop.time()
+        return frozenset(ident for ident, at in self._leaving.items() if now - at < LEAVING_S)
+
     async def reconcile_members(self) -> None:
         """Replace backups that are lost, take joiners in, let go of what is silent."""
         configuration = self.replica.accepted
         assert configuration is not None
-        silent = self.primary.contacts.silence()
-        lost = [b for b in configuration.backups if silent.get(b, 0.0) > BACKUP_LOST_S]
+        silence = self.primary.contacts.silence()
+        lost = [b for b in configuration.backups if silence.get(b, 0.0) > BACKUP_LOST_S]
         if not lost and not self.primary.contacts.has_majority():
             return  # all members are here: nobody else may lead, and no change can come into force
-        add = [j for j in self.joiners.values() if configuration.witness(j.id) is None]
-        self.joiners.clear()
-        drop = self._to_drop(silent, add)
-        if add or drop or lost:
-            log("reform", node=self.settings.node, add=len(add), drop=len(drop), lost=len(lost))
-            await self.election.run(drop, add)
+        change = self._wanted_change(configuration, silence)
+        better = self._better_backups(configuration, silence)
+        if change.add or change.drop or lost or better:
+            drop = len(change.drop)
+            log("reform", node=self.settings.node, add=len(change.add), drop=drop, lost=len(lost), better=len(better))
+            await self.election.run(change)
 
-    def _to_drop(self, silent: dict[str, float], add: list[ControllerInfo]) -> set[str]:
-        """Witnesses that a joiner takes the place of, and those that were silent for long while enough others stay."""
-        configuration = self.replica.accepted
-        assert configuration is not None
-        taken = {a.address for a in add} | {a.node for a in add}
-        drop = {w.id for w in configuration.witnesses if w.address in taken or w.node in taken}
-        patience = WITNESS_LOST_S / 2 if add else WITNESS_LOST_S
-        gone = sorted((i for i, age in silent.items() if age > patience and i not in drop), key=lambda i: -silent[i])
-        least = 2 * self.settings.survive_nodes + 1
+    def _wanted_change(self, configuration: EpochConfiguration, silence: dict[str, float]) -> MembershipChange:
+        """Joiners in; out those whose place a joiner takes, who upset the balance of zones, or who were silent for
+        long while the others still bear each allowed loss."""
+        joiners = [j for j in self.joiners.values() if configuration.witness(j.id) is None]
+        self.joiners.clear()
+        taken = {j.address for j in joiners} | {j.node for j in joiners}
+        stay = [w for w in configuration.witnesses if w.address not in taken and w.node not in taken]
+        places = self.election.places([*configuration.witnesses, *joiners])
+        order = sorted([*stay, *joiners], key=lambda w: (w.id not in configuration.members, silence.get(w.id, 0.0) > 1))
+        voters = choose_voters([w.id for w in order], places, self.election.limits)
+        patience = WITNESS_LOST_S / 2 if joiners else WITNESS_LOST_S
+        gone = sorted((v for v in voters if silence.get(v, 0.0) > patience), key=lambda v: -silence[v])
         for ident in gone:
-            if len(configuration.witnesses) - len(drop) + len(add) > least:
-                drop.add(ident)
-        return drop
+            if may_remove_voter(ident, voters, places, self.election.limits):
+                voters.remove(ident)
+        add = tuple(j for j in joiners if j.id in voters)
+        drop = frozenset(w.id for w in configuration.witnesses if w.id not in voters)
+        return MembershipChange(drop, add, self.leaving)
+
+    def _better_backups(self, configuration: EpochConfiguration, silence: dict[str, float]) -> list[str]:
+        """Whom to make backups because the present ones do not bear every allowed loss; looked for now and then."""
+        now = self.replica.loop.time()
+        if now - self._improved_at < IMPROVE_S:
+            return []
+        self._improved_at = now
+        places = self.election.places(configuration.witnesses)
+        living = [i for i, age in silence.items() if age <= BACKUP_LOST_S and i not in self.leaving]
+        return choose_replicas(configuration.members, living, places, self.election.limits)
 
     # Outside -------------------------------------------------------------------------------------
 
--- a/otterreach/controller/messages.py
+++ b/otterreach/controller/messages.py
@@ -17,6 +17,7 @@
     number: int
     candidate: str
     probe: bool = False  # only asks whether it would be promised
+    transfer: bool = False  # the primary itself asked the candidate to take over: that it is heard is no hindrance
 
 
 @message(21)
@@ -104,6 +105,24 @@
     controller: list[ControllerInfo]
 
 
+@message(31)
+@dataclass(slots=True)
+class TransferLeadership:
+    """A primary that leaves to a backup: lead the next epoch, without me among its backups. Done, or a Failure."""
+
+    number: int  # of the epoch that ends
+    leaving: str
+
+
+@message(32)
+@dataclass(slots=True)
+class Leave:
+    """A backup that leaves to its primary: replace me. Done once it holds no needed copy, or a Failure."""
+
+    number: int
+    leaving: str
+
+
 @message(0)
 @dataclass(slots=True)
 class Sighting:
--- a/otterreach/controller/primary.py
+++ b/otterreach/controller/primary.py
@@ -57,6 +57,7 @@
         self._waiting: list[PendingWrite] = []  # for what is in the queue
         self._unanswered: list[PendingWrite] = []  # all, oldest first
         self._replicating = False
+        self.closed = False  # this controller leaves: no more writes
         self._submitted = self._completed = 0  # numbers of the last write handed in, and of the last at all members
         replica.on_step_down.append(self._abandon_writes)
 
@@ -72,7 +73,7 @@
         replica = self.replica
         assert replica.accepted is not None
         replica.newer = None
-        self.contacts.begin_epoch(replica.accepted, replica.id)
+        self.contacts.begin_epoch(replica.accepted, replica.id, replica.is_primary)
         self.follower.primary = self.settings.address
         self._counter = self._highest_revision()
         replica.become(Mode.PRIMARY, f"epoch {replica.number} in force")
@@ -134,7 +135,7 @@
             return
         if reply.promised > configuration.number:
             self.replica.highest_seen = max(self.replica.highest_seen, reply.promised)
-            await self.election.run(set(), [])  # above it, or not at all
+            await self.election.run()  # above it, or not at all
         else:
             await self.endpoint.call(witness.address, Accept([configuration]), CALL_S)
 
@@ -143,10 +144,12 @@
 
         Before a read or a refusal: every backup and a majority of the witnesses, asked after this call, say that the
         epoch holds. False within ANSWER_S."""
+        submitted, deadline = self._submitted, self.replica.loop.time() + ANSWER_S
+        while self.replica.is_primary and self.election.in_progress and self.replica.loop.time() < deadline:
+            await asyncio.sleep(PENDING_CHECK_S)  # the next epoch of the same primary is about to begin
         configuration = self.replica.accepted
         if configuration is None or not self._leads(configuration) or not self.contacts.has_majority():
             return False
-        submitted, deadline = self._submitted, self.replica.loop.time() + ANSWER_S
         if not await self._ask_whether_epoch_holds(configuration, deadline):
             return False
         while self._completed < submitted and self._leads(configuration) and self.replica.loop.time() < deadline:
@@ -175,7 +178,7 @@
         Not primary, or out of touch with a majority: False at once, and nothing was changed."""
         replica = self.replica
         future: asyncio.Future[bool] = replica.loop.create_future()
-        if not replica.is_primary or not self.contacts.has_majority():
+        if self.closed or not replica.is_primary or not self.contacts.has_majority():
             future.set_result(False)
             return future
         items = []
@@ -193,6 +196,12 @@
             self.endpoint.spawn(self._replicate())
         return future
 
+    async def finish_writes(self) -> None:
+        """Take no more writes; return when those under way are answered."""
+        self.closed = True
+        while any(not write.answer.done() for write in self._unanswered):
+            await asyncio.sleep(PENDING_CHECK_S)
+
     def _answer_late_writes(self) -> None:
         """Without a clear answer: what lacks a majority's word, or a backup's, for too long."""
         now, in_touch = self.replica.loop.time(), self.contacts.has_majority()
@@ -229,7 +238,7 @@
         # Appended once more in the next epoch, or abandoned at the step down.
         self._queue, self._waiting = items + self._queue, waiting + self._waiting
         if self._leads(configuration) and not self.election.in_progress:
-            await self.election.run(set(), [])
+            await self.election.run()
 
     def _ask_other_witnesses(self, configuration: EpochConfiguration) -> None:
         """Where the backups' word is not that of a majority: ask the others beside the write."""
--- a/otterreach/controller/survival.py
+++ b/otterreach/controller/survival.py
@@ -115,6 +115,8 @@
 
     Zones or regions with more machines than others get at most as many voters as keeps the balance. Where no choice
     keeps a majority after each loss, the one with which most kinds of losses do."""
+    if not limits.zones and not limits.regions or not unmet_by_voters([places[c] for c in candidates], limits):
+        return list(candidates)
     options: list[list[str]] = []
     for zone_cap in range(1, len(candidates) + 1):
         for region_cap in range(zone_cap, len(candidates) + 1):
@@ -141,7 +143,7 @@
 
 
 def may_remove_voter(leaving: str, voters: Sequence[str], places: Mapping[str, Place], limits: SurviveLimits) -> bool:
-    """Whether the others keep a majority after each loss after which all of them do now."""
+    """Whether the others keep a majority after each loss after which all do now, and after the loss of `nodes`."""
     before = unmet_by_voters([places[v] for v in voters], limits)
     after = unmet_by_voters([places[v] for v in voters if v != leaving], limits)
-    return set(after) <= set(before) and len(voters) > 1
+    return "nodes" not in after and set(after) <= set(before)
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -134,8 +134,10 @@
         limits = SurviveLimits(1)
         self.assertTrue(may_remove_voter("m3", ["m0", "m1", "m2", "m3"], places, limits))
         self.assertFalse(may_remove_voter("m2", ["m0", "m1", "m2"], places, limits))
-        self.assertTrue(may_remove_voter("m2", ["m0", "m2"], places, limits))  # one more or less: no loss is borne
-        self.assertFalse(may_remove_voter("m0", ["m0"], places, limits))
+        self.assertFalse(may_remove_voter("m2", ["m0", "m2"], places, limits))  # no loss is borne already
+        across, spread = SurviveLimits(1, 1), machines("a1", "a2", "a3", "a1", "a2")
+        self.assertTrue(may_remove_voter("m3", list(places), places, across))
+        self.assertFalse(may_remove_voter("m2", list(spread), spread, across))  # a1 would have half of them
 
 
 class SettingsTest(unittest.TestCase):
