--- a/otterreach/controller/primary.py
+++ b/otterreach/controller/primary.py
@@ -12,6 +12,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from otterreach.controller import change_history
 from otterreach.controller.contact import WitnessContacts
 from otterreach.controller.election import CALL_S, Election
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration, is_majority
@@ -31,6 +32,11 @@
 REVISION_BITS = 24  # of an item's rev: the count within its epoch; the epoch's number stands above
 
 
+def is_private(key: str) -> bool:
+    """Whether an item stays among the controllers: no other process has a use for it."""
+    return key.partition("/")[0] == change_history.KIND
+
+
 @dataclass(slots=True)
 class PendingWrite:
     """A write that its caller waits for."""
@@ -59,11 +65,14 @@
         self._replicating = False
         self.closed = False  # this controller leaves: no more writes
         self._submitted = self._completed = 0  # numbers of the last write handed in, and of the last at all members
+        self._step_downs = 0
         replica.on_step_down.append(self._abandon_writes)
 
     def _abandon_writes(self) -> None:
         unanswered, self._unanswered = self._unanswered, []
         self._waiting, self._queue = [], []
+        self._completed = self._submitted  # if this leads again, all its members begin with its whole state
+        self._step_downs += 1
         for write in unanswered:
             write.settle(False)
         self.contacts.wake()
@@ -140,21 +149,25 @@
             await self.endpoint.call(witness.address, Accept([configuration]), CALL_S)
 
     async def confirm(self) -> bool:
-        """Whether this is the primary now, and all that was handed in before is at all members.
-
-        Before a read or a refusal: every backup and a majority of the witnesses, asked after this call, say that the
-        epoch holds. False within ANSWER_S."""
-        submitted, deadline = self._submitted, self.replica.loop.time() + ANSWER_S
+        """Whether this is the primary now. Before a read: every backup and a majority of the witnesses, asked after
+        this call, say that the epoch holds. False within ANSWER_S."""
+        deadline = self.replica.loop.time() + ANSWER_S
         while self.replica.is_primary and self.election.in_progress and self.replica.loop.time() < deadline:
             await asyncio.sleep(PENDING_CHECK_S)  # the next epoch of the same primary is about to begin
         configuration = self.replica.accepted
         if configuration is None or not self._leads(configuration) or not self.contacts.has_majority():
             return False
-        if not await self._ask_whether_epoch_holds(configuration, deadline):
+        return await self._ask_whether_epoch_holds(configuration, deadline) and self._leads(configuration)
+
+    async def committed(self) -> bool:
+        """Whether this is the primary now, and the whole state as it was when this was called is at all members.
+        Before an answer that rests on the state: a change that is not at all members may still vanish."""
+        submitted, step_downs = self._submitted, self._step_downs
+        if not await self.confirm():
             return False
-        while self._completed < submitted and self._leads(configuration) and self.replica.loop.time() < deadline:
+        while self._completed < submitted and self._step_downs == step_downs and self.contacts.has_majority():
             await asyncio.sleep(PENDING_CHECK_S)
-        return self._completed >= submitted and self._leads(configuration)
+        return self._completed >= submitted and self._step_downs == step_downs
 
     async def _ask_whether_epoch_holds(self, configuration: EpochConfiguration, deadline: float) -> bool:
         own = self.replica.id
@@ -232,7 +245,7 @@
         if appended and await self.contacts.wait_for_majority(asked_at, lambda: self._leads(configuration)):
             self._publish(items)
             for write in waiting:
-                self._completed = write.number
+                self._completed = max(self._completed, write.number)
                 write.settle(True)
             return
         # Appended once more in the next epoch, or abandoned at the step down.
@@ -265,5 +278,5 @@
         return True
 
     def _publish(self, items: list[Item]) -> None:
-        taken = self.follower.store.apply(items)
+        taken = self.follower.store.apply(item for item in items if not is_private(item.key))
         self.follower.relay.publish(taken)
--- a/otterreach/controller/replica_state.py
+++ b/otterreach/controller/replica_state.py
@@ -6,15 +6,15 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from enum import Enum
 
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
-from otterreach.controller.messages import Accept, InstallSnapshot
+from otterreach.controller.messages import Accept, AppendItems, InstallSnapshot
 from otterreach.runtime import identity
 from otterreach.runtime.codec import decode, encode
 from otterreach.runtime.codes import Code, Failure
-from otterreach.runtime.journal import Journal
+from otterreach.runtime.journal import Journal, Slice
 from otterreach.runtime.journal import Record as JournalRecord
 from otterreach.runtime.log import log
 from otterreach.runtime.settings import Settings
@@ -22,6 +22,7 @@
 
 # Kinds of journal records.
 IDENTITY, PROMISE, CONFIGURATION, ITEMS, SNAPSHOT = 1, 2, 3, 4, 5
+SLICE_BYTES = 32 * 1024  # of the state, encoded in one turn of the loop
 PRIMARY_ADDRESS_VALID_S = 2.0  # how long the primary's address is taken for true after it was last heard
 PRIMARY_SILENT_S = 0.5  # silent for longer: no call is passed on to it
 
@@ -57,7 +58,7 @@
 
     # On disk -------------------------------------------------------------------------------------
 
-    def load(self, records: list[JournalRecord]) -> None:
+    def load(self, records: Iterable[JournalRecord]) -> None:
         """The state as the journal has it; a first start draws an id, which lasts after the next `sync`."""
         for kind, payload in records:
             self._load_record(kind, payload)
@@ -87,22 +88,32 @@
     def _identity_payload(self) -> bytes:
         return f"{self.id} {int(self.uninitialised)}".encode()
 
-    def live_records(self) -> Iterable[JournalRecord]:
-        """The records of a journal that holds just the present state."""
-        yield IDENTITY, self._identity_payload()
-        items = list(self.store.items.values())
-        yield SNAPSHOT, encode(InstallSnapshot(min(self.promised, self.number), self.id, items))
+    def live_records(self) -> Iterator[Slice]:
+        """What the journal has to hold, in slices that each tell what is so when they are asked for."""
+        yield [(IDENTITY, self._identity_payload())]
+        yield [(SNAPSHOT, encode(InstallSnapshot(min(self.promised, self.number), self.id, [])))]
+        for keys in self.store.batches(SLICE_BYTES):
+            items = [self.store.items[key] for key in keys if key in self.store.items]
+            yield [(ITEMS, encode(AppendItems(self.number, items)))]
         if self.accepted:
-            yield CONFIGURATION, encode(Accept([self.accepted]))
-        yield PROMISE, str(self.promised).encode()
+            yield [(CONFIGURATION, encode(Accept([self.accepted])))]
+        yield [(PROMISE, str(self.promised).encode())]
+
+    def live_bytes(self) -> int:
+        """About how long a journal is that holds just the present state."""
+        return self.store.bytes
 
     async def sync(self) -> bool:
         """Whether all that was appended is on disk. A disk that fails ends this controller's part."""
         if await self.journal.sync():
             return True
+        self.fail_disk()
+        return False
+
+    def fail_disk(self) -> None:
+        """The disk has failed: take no part any more."""
         self.step_down("disk")
         self.become(Mode.FAILED, "disk")
-        return False
 
     @property
     def disk_failure(self) -> Failure:
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -17,6 +17,7 @@
 from otterreach.controller.membership import Membership
 from otterreach.controller.primary import Primary
 from otterreach.controller.replica_state import Mode, ReplicaState
+from otterreach.runtime.compaction import Compaction, Limits
 from otterreach.runtime.journal import Journal
 from otterreach.runtime.journal import Record as JournalRecord
 from otterreach.runtime.relay import Follower
@@ -25,8 +26,7 @@
 from otterreach.runtime.store import Item, ReplicatedStore
 
 TICK_S = 0.05
-REWRITE_BYTES = 4 * 1024 * 1024  # a journal shorter than this is not rewritten
-REWRITE_RATIO = 4  # nor one that is less than so many times its live records
+REWRITE = Limits(4 * 1024 * 1024, 4.0)
 
 
 class Control:
@@ -50,6 +50,7 @@
         self.membership = Membership(self.replica, endpoint, follower, self.election, self.primary)
         self.leaving = Leaving(self.replica, endpoint, self.election, self.primary, self.membership)
         self.replica.on_mode_change.append(self._tell_changed)
+        self.compaction = Compaction(journal, self.replica.live_records, self.replica.live_bytes, REWRITE)
 
     # What others see of it -----------------------------------------------------------------------
 
@@ -96,21 +97,21 @@
         """Where the primary is that was heard a moment ago; empty if none was."""
         return self.replica.heard_primary_address
 
-    def copy_age_s(self) -> float:
-        """How old the published state may be here."""
-        return self.follower.age_s()
-
     async def confirm(self) -> bool:
         """Whether this is the primary now. Before a read."""
         return await self.primary.confirm()
 
+    async def committed(self) -> bool:
+        """Whether this is the primary now, and all of `state` as it was at the call is at all members."""
+        return await self.primary.committed()
+
     def revise(self, changes: Iterable[tuple[str, bytes]]) -> asyncio.Future[bool]:
         """Change items (empty value: gone). True once all members have it; False: it may be in force or not."""
         return self.primary.revise(changes)
 
     # Its work ------------------------------------------------------------------------------------
 
-    def load(self, records: list[JournalRecord]) -> None:
+    def load(self, records: Iterable[JournalRecord]) -> None:
         """The state as the journal has it. `start` makes it last."""
         self.replica.load(records)
 
@@ -147,13 +148,6 @@
             elif self.election.is_due():
                 await self.election.stand()
             self.membership.ask_to_join_when_due(now)
-            if not self.election.in_progress:
-                await self._rewrite_when_long()
-
-    async def _rewrite_when_long(self) -> None:
-        replica = self.replica
-        if replica.journal.size <= REWRITE_BYTES:
-            return
-        live = sum(len(payload) for _, payload in replica.live_records())
-        if replica.journal.size > REWRITE_RATIO * live and not await replica.journal.rewrite(replica.live_records):
-            replica.step_down("disk")
+            self.compaction.start_if_due()
+            if self.replica.journal.failed is not None:
+                self.replica.fail_disk()
--- a/otterreach/jobstore/replication.py
+++ b/otterreach/jobstore/replication.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from random import Random
 from typing import Any, Protocol
 
@@ -18,6 +18,7 @@
 from otterreach.jobstore.placement import PARTITIONS, Placement, read_placement
 from otterreach.jobstore.replica_stream import CALL_S, StreamState
 from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.journal import Live
 from otterreach.runtime.log import log
 from otterreach.runtime.node import Node
 from otterreach.runtime.store import Item
@@ -35,7 +36,7 @@
 
     async def sync(self) -> bool: ...
 
-    async def rewrite(self, live: Callable[[], Iterable[tuple[int, bytes]]]) -> bool: ...
+    async def rewrite(self, live: Live) -> bool: ...
 
 
 class Replication:
