--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -17,7 +17,9 @@
 from otterreach.controller.api.servers import ServerResource, read_server, updated
 from otterreach.controller.api.versions import VersionResource
 from otterreach.controller.messages import Operate, Operated
+from otterreach.controller.planner import Stores
 from otterreach.controller.replication import Control
+from otterreach.controller.spread import Spread
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.http import Reply
 from otterreach.runtime.relay import Follower
@@ -45,16 +47,17 @@
         settings: Settings,
         control: Control,
         follower: Follower,
-        living_stores: Callable[[], set[str]],
+        living_stores: Callable[[], Stores | None],
         server_heard: Callable[[str], None],
     ) -> None:
         self.control, self.follower, self.server_heard = control, follower, server_heard
         published = follower.store
+        wanted = Spread.surviving(settings.survive_nodes, settings.survive_zones, settings.survive_regions)
         self.resources: dict[str, Resource] = {
             "config": ConfigurationResource(control, published),
             "servers": ServerResource(control),
             "version-put": VersionResource(control),
-            "retire": RetirementResource(control, published, living_stores, settings.survive_nodes + 1),
+            "retire": RetirementResource(control, published, living_stores, wanted),
         }
         control.endpoint.on(Operate, self._forwarded)
 
--- a/otterreach/controller/election.py
+++ b/otterreach/controller/election.py
@@ -22,14 +22,8 @@
     Promise,
 )
 from otterreach.controller.replica_state import Mode, ReplicaState
-from otterreach.controller.survival import (
-    Place,
-    choose_replicas,
-    limits_of,
-    place_of,
-    unmet_by_replicas,
-    unmet_by_voters,
-)
+from otterreach.controller.spread import Place
+from otterreach.controller.survival import choose_replicas, limits_of, place_of, unmet_by_replicas, unmet_by_voters
 from otterreach.runtime.log import log
 from otterreach.runtime.rpc import Done, Endpoint
 from otterreach.runtime.store import Item
--- a/otterreach/controller/primary.py
+++ b/otterreach/controller/primary.py
@@ -263,11 +263,12 @@
 
     async def _append_to_backups(self, configuration: EpochConfiguration, items: list[Item]) -> bool:
         """Whether this disk and every backup's have them, in this epoch."""
+        replica = self.replica
         targets = [w for w in configuration.witnesses if w.id in configuration.backups]
         ask = AppendItems(configuration.number, items)
-        asked_at = self.replica.loop.time()
+        asked_at = replica.loop.time()
         calls: list[Awaitable[Any]] = [self.endpoint.call(w.address, ask, CALL_S) for w in targets]
-        replies = await asyncio.gather(self.replica.sync(), *calls)
+        replies = await asyncio.gather(replica.sync(), *calls)
         if replies[0] is not True or not self._leads(configuration):
             return False
         for witness, reply in zip(targets, replies[1:], strict=True):
--- a/otterreach/controller/survival.py
+++ b/otterreach/controller/survival.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
+from otterreach.controller.spread import Place
 from otterreach.runtime.settings import Settings
 
 
@@ -27,14 +28,6 @@
         return max(self.nodes, self.zones, self.regions) + 1
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
-    """Where a machine stands."""
-
-    zone: str
-    region: str
-
-
 def limits_of(settings: Settings) -> SurviveLimits:
     """The limits that a settings file states."""
     return SurviveLimits(settings.survive_nodes, settings.survive_zones, settings.survive_regions)
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -21,7 +21,9 @@
 from otterreach.controller.api.servers import ServerResource
 from otterreach.controller.api.versions import VersionResource
 from otterreach.controller.messages import Operate, Operated
+from otterreach.controller.planner import Stores
 from otterreach.controller.primary import is_private
+from otterreach.controller.spread import Place, Spread
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.store import Item, ReplicatedStore
 from otterreach.sidecar import http1
@@ -352,10 +354,19 @@
             self.member(control, f"s{n}", f"d{n}")
             living.add(f"s{n}#d{n}")
         control.commit()
-        return control, RetirementResource(control, control.published, lambda: living, 2), living
+
+        def living_stores() -> Stores:
+            orders = control.state.named("retire")
+            retiring = {f"{node}#{order['disk']}" for node, order in orders.items()}
+            return Stores({name: Place("z", "r") for name in living}, frozenset(retiring & living))
+
+        wanted = Spread.surviving(1, 0, 0)
+        return control, RetirementResource(control, control.published, living_stores, wanted), living
 
     def member(self, control: StagedControl, node: str, disk: str) -> None:
-        control.revise([(f"member/{node}", json.dumps({"role": "store", "disk": disk}).encode())])
+        control.revise(
+            [(f"member/{node}", json.dumps({"role": "store", "disk": disk, "zone": "z", "region": "r"}).encode())]
+        )
 
     def call(self, node: str, method: str = "POST") -> Operate:
         return Operate(method, f"/retire/{node}", "", b'{"overS":10}')
@@ -363,7 +374,7 @@
     def test_answers(self) -> None:
         async def scene() -> None:
             control, resource, _ = self.stage(4)
-            partition = {"primary": "s0#d0", "backups": ["s1#d1"], "joining": []}
+            partition = {"epoch": 1, "primary": "s0#d0", "backups": ["s1#d1"], "joining": []}
             control.revise([("part/0", json.dumps(partition).encode())])
             await self.expect(resource, self.call("unknown"), 404)
             await self.expect(resource, self.call("unknown", "GET"), 404)
@@ -513,10 +524,10 @@
 
 class RouterTest(Case):
     def stage(self, control: StagedControl) -> tuple[ApiRouter, Follower, list[str]]:
-        settings: Any = type("Settings", (), {"survive_nodes": 1})
+        settings: Any = type("Settings", (), {"survive_nodes": 1, "survive_zones": 0, "survive_regions": 0})
         follower, heard = Follower(control.published), list[str]()
         parts: Any = control, follower
-        return ApiRouter(settings, parts[0], parts[1], set, heard.append), follower, heard
+        return ApiRouter(settings, parts[0], parts[1], lambda: Stores({}), heard.append), follower, heard
 
     def request(self, call: Operate) -> http1.Request:
         headers = {b"if-match": call.match.encode()}
