--- a/otterreach/controller/primary.py
+++ b/otterreach/controller/primary.py
@@ -18,11 +18,12 @@
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration, is_majority
 from otterreach.controller.messages import Accept, AppendItems, EpochHeartbeat, EpochHeartbeatReply
 from otterreach.controller.replica_state import ITEMS, Mode, ReplicaState
+from otterreach.controller.tombstones import collected_rev
 from otterreach.runtime.codec import encode
 from otterreach.runtime.log import log
 from otterreach.runtime.relay import Follower
 from otterreach.runtime.rpc import Done, Endpoint
-from otterreach.runtime.store import Item
+from otterreach.runtime.store import RANGES, Item, ReplicatedStore
 
 HEARTBEAT_S = 0.1
 HEARTBEATS_IN_FLIGHT = int(CALL_S / HEARTBEAT_S)  # to one witness: a slow link does not make them rarer
@@ -86,7 +87,7 @@
         self.follower.primary = self.settings.address
         self._counter = self._highest_revision()
         replica.become(Mode.PRIMARY, f"epoch {replica.number} in force")
-        self._publish(installed)  # at all members now; what was changed since is still to be appended
+        self._publish_whole(installed)  # at all members now; what was changed since is still to be appended
         self._refresh_root_time()
         if self._queue and not self._replicating:
             self.endpoint.spawn(self._replicate())
@@ -239,6 +240,7 @@
         assert configuration is not None
         items, self._queue = self._queue, []
         waiting, self._waiting = self._waiting, []
+        step_downs = self._step_downs
         asked_at = self.replica.loop.time()
         self._ask_other_witnesses(configuration)
         appended = await self._append_to_backups(configuration, items)
@@ -248,6 +250,8 @@
                 self._completed = max(self._completed, write.number)
                 write.settle(True)
             return
+        if self._step_downs != step_downs:
+            return  # these writes were answered then; another may have led since, without the items
         # Appended once more in the next epoch, or abandoned at the step down.
         self._queue, self._waiting = items + self._queue, waiting + self._waiting
         if self._leads(configuration) and not self.election.in_progress:
@@ -280,4 +284,18 @@
 
     def _publish(self, items: list[Item]) -> None:
         taken = self.follower.store.apply(item for item in items if not is_private(item.key))
+        self._tell_followers(taken)
+
+    def _publish_whole(self, items: list[Item]) -> None:
+        """All items there are: what the published copy had besides, from its time as a follower, is gone."""
+        public = [item for item in items if not is_private(item.key)]
+        state = ReplicatedStore()
+        state.apply(items)
+        taken = self.follower.store.replace_ranges(range(RANGES), public, collected_rev(state))
+        self._tell_followers(taken)
+
+    def _tell_followers(self, taken: list[Item]) -> None:
+        collected = collected_rev(self.follower.store)  # all members have the change that says so
+        self.follower.store.collect(collected)
+        self.replica.store.collect(collected)
         self.follower.relay.publish(taken)
--- a/otterreach/simulation/small_parts.py
+++ b/otterreach/simulation/small_parts.py
@@ -132,6 +132,9 @@
         if self._waiting:
             self._begin()
 
+    def abandon_rewrite(self) -> None:
+        """None is ever under way."""
+
     async def rewrite(self, live: Callable[[], Iterable[Entry]]) -> bool:
         raise NotImplementedError("a small model's journal never gets long")
 
--- a/tests/test_control_api.py
+++ b/tests/test_control_api.py
@@ -23,7 +23,7 @@
 from otterreach.controller.messages import Operate, Operated
 from otterreach.controller.planner import Stores
 from otterreach.controller.primary import is_private
-from otterreach.controller.spread import Place, Spread
+from otterreach.controller.survival import Place, SurviveLimits
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.store import Item, ReplicatedStore
 from otterreach.sidecar import http1
@@ -347,26 +347,21 @@
 
 
 class RetirementTest(Case):
-    def stage(self, stores: int, instant: bool = True) -> tuple[StagedControl, RetirementResource, set[str]]:
+    def stage(self, count: int, instant: bool = True) -> tuple[StagedControl, RetirementResource, set[str]]:
         control = StagedControl(instant)
         living: set[str] = set()
-        for n in range(stores):
+        for n in range(count):
             self.member(control, f"s{n}", f"d{n}")
             living.add(f"s{n}#d{n}")
         control.commit()
 
-        def living_stores() -> Stores:
-            orders = control.state.named("retire")
-            retiring = {f"{node}#{order['disk']}" for node, order in orders.items()}
-            return Stores({name: Place("z", "r") for name in living}, frozenset(retiring & living))
+        def stores() -> Stores:
+            return Stores({name: Place("z", "r") for name in living})
 
-        wanted = Spread.surviving(1, 0, 0)
-        return control, RetirementResource(control, control.published, living_stores, wanted), living
+        return control, RetirementResource(control, control.published, stores, SurviveLimits(1)), living
 
     def member(self, control: StagedControl, node: str, disk: str) -> None:
-        control.revise(
-            [(f"member/{node}", json.dumps({"role": "store", "disk": disk, "zone": "z", "region": "r"}).encode())]
-        )
+        control.revise([(f"member/{node}", json.dumps({"role": "store", "disk": disk}).encode())])
 
     def call(self, node: str, method: str = "POST") -> Operate:
         return Operate(method, f"/retire/{node}", "", b'{"overS":10}')
@@ -374,7 +369,7 @@
     def test_answers(self) -> None:
         async def scene() -> None:
             control, resource, _ = self.stage(4)
-            partition = {"epoch": 1, "primary": "s0#d0", "backups": ["s1#d1"], "joining": []}
+            partition = {"primary": "s0#d0", "backups": ["s1#d1"], "joining": []}
             control.revise([("part/0", json.dumps(partition).encode())])
             await self.expect(resource, self.call("unknown"), 404)
             await self.expect(resource, self.call("unknown", "GET"), 404)
@@ -527,7 +522,7 @@
         settings: Any = type("Settings", (), {"survive_nodes": 1, "survive_zones": 0, "survive_regions": 0})
         follower, heard = Follower(control.published), list[str]()
         parts: Any = control, follower
-        return ApiRouter(settings, parts[0], parts[1], lambda: Stores({}), heard.append), follower, heard
+        return ApiRouter(settings, parts[0], parts[1], lambda: None, heard.append), follower, heard
 
     def request(self, call: Operate) -> http1.Request:
         headers = {b"if-match": call.match.encode()}
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from otterreach.controller.planner import Part, Stores, initial_records, plan, synced
-from otterreach.controller.spread import Place, Spread
+from otterreach.controller.survival import Place, SurviveLimits
 
-TWO = Spread.surviving(1, 0, 0)
+TWO = SurviveLimits(1)
 ZONES = {"a#1": "z1", "b#1": "z2", "c#1": "z3", "d#1": "z1"}
 
 
--- a/tests/test_survival.py
+++ b/tests/test_survival.py
@@ -8,8 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from otterreach.controller.spread import Place
 from otterreach.controller.survival import (
+    Place,
     SurviveLimits,
     choose_replicas,
     choose_voters,
