--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -29,6 +29,7 @@
 
 ANSWER_S = 0.8  # the primary answers within this
 FORWARD_EXTRA_S = 0.05  # so much longer a controller that passed a call on waits for the primary
+PRIMARY_CHECK_S = 0.05  # between two looks whether the primary that a call was passed on to is still heard
 BODY_BYTES_PER_S = 2_000_000  # callers are more patient with large bodies
 COPY_AGE_S = 1.0  # a controller answers from its own copy of the control state only while that is not older
 
@@ -98,11 +99,17 @@
             return UNCLEAR
 
     async def _pass_on(self, call: Operate) -> Operated:
-        address = self.control.primary_address
+        """The primary's answer; UNCLEAR as soon as the primary is not heard any more."""
+        address = self.control.heard_primary_address
         if not address:
             return UNCLEAR
         timeout_s = answer_within_s(call) + FORWARD_EXTRA_S
-        answer: Operated | Failure = await self.control.endpoint.call(address, call, timeout_s)
+        asked = self.control.endpoint.spawn(self.control.endpoint.call(address, call, timeout_s))
+        while not asked.done():
+            await asyncio.wait([asked], timeout=PRIMARY_CHECK_S)
+            if not asked.done() and self.control.heard_primary_address != address:
+                return UNCLEAR
+        answer: Operated | Failure = asked.result()
         return UNCLEAR if isinstance(answer, Failure) else answer
 
     async def _forwarded(self, link: Link, call: Operate) -> Operated | Failure:
--- a/tests/test_control_primary.py
+++ b/tests/test_control_primary.py
@@ -50,7 +50,7 @@
 class Election:
     in_progress = False
 
-    async def run(self, drop: Any, add: Any) -> bool:
+    async def run(self) -> bool:
         return False
 
 
