--- a/otterreach/simulation/__main__.py
+++ b/otterreach/simulation/__main__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import os
 import sys
 from collections.abc import Callable
@@ -17,7 +18,8 @@
 
 app = App(name="simulation", help=__doc__)
 Run = Callable[..., tuple[World, Plan]]
-SCENARIOS: dict[str, Run] = {"control": control.run, "jobs": jobs.run}
+SCENARIOS: dict[str, Run] = {"control": control.run, "jobs": jobs.run, "brief": control.run_brief}
+SEEDS_AT_ONCE = 5  # handed to a process together
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +41,12 @@
     return Outcome(scenario, seed, failure, rule, frozenset(world.states), world.depth, world.loop.steps)
 
 
+def _settle_memory() -> None:
+    """What is loaded stays: the collections between runs need not look at it."""
+    gc.collect()
+    gc.freeze()
+
+
 def shrink(scenario: str, seed: int, rule: str) -> tuple[World, Plan]:
     """The smallest plan of faults found that still breaks the same rule, one fault left out after the other."""
     run = SCENARIOS[scenario]
@@ -62,7 +70,7 @@
     seeds: how many
     first: the lowest
     jobs_at_once: processes
-    scenario: control or jobs; both if none is named
+    scenario: control, jobs or brief (the controllers, short runs); all if none is named
     lines: of the log of a failing run, after it was made smaller
     """
     names = [scenario] if scenario else list(SCENARIOS)
@@ -71,8 +79,8 @@
     states: dict[str, set[int]] = {name: set() for name in names}
     depth = dict.fromkeys(names, 0)
     runs = dict.fromkeys(names, 0)
-    with ProcessPoolExecutor(jobs_at_once) as pool:
-        for outcome in pool.map(play, *zip(*work, strict=True)):
+    with ProcessPoolExecutor(jobs_at_once, initializer=_settle_memory) as pool:
+        for outcome in pool.map(play, *zip(*work, strict=True), chunksize=min(SEEDS_AT_ONCE, seeds)):
             states[outcome.scenario] |= outcome.states
             depth[outcome.scenario] = max(depth[outcome.scenario], outcome.depth)
             runs[outcome.scenario] += 1
--- a/otterreach/simulation/control.py
+++ b/otterreach/simulation/control.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Any
 
@@ -57,6 +57,10 @@
         )
 
 
+# Cheap: three controllers, a short run, and the end's promises in place of those of calm times.
+BRIEF = Setup(controllers=3, proxies=0, servers=0, members=False)
+
+
 class Scenario:
     """One run."""
 
@@ -84,7 +88,7 @@
         world = self.world
         for box in world.boxes.values():
             world.plainly(self.random.uniform(0.0, 0.3), box.start)
-        self.invariants.watch_acknowledgements()
+        self.invariants.watch()
         tasks = self._start_callers()
         await self._until(lambda: self.history.newest > 0, START_S, "first configuration")
         self.troubles = faults.Troubles(world, self.plan)
@@ -178,6 +182,14 @@
         self.invariants.check_end()
 
 
+def run_brief(seed: int, plan: faults.Plan | None = None) -> tuple[World, faults.Plan]:
+    """Play a short run of few machines: for many seeds in little time."""
+    random = Random(seed ^ 0xB41EF)
+    names = [f"core-{n}" for n in range(BRIEF.controllers)]
+    setup = replace(BRIEF, lost_share=random.choice([0.0, 0.05, 0.3]))
+    return run(seed, plan or faults.draw_brief(random, names), setup)
+
+
 def run(seed: int, plan: faults.Plan | None = None, setup: Setup | None = None) -> tuple[World, faults.Plan]:
     """Play one seed, with its own plan of faults and setup or others."""
     drawn = setup or Setup.draw(Random(seed ^ 0x5E7))
--- a/otterreach/simulation/faults.py
+++ b/otterreach/simulation/faults.py
@@ -17,6 +17,8 @@
 LEADER_SHARE = 0.3
 ZONE = "zone:"  # and the name of a zone, in place of a name: all controllers there
 LOSS_SHARE = 0.4
+BRIEF_LOSS_SHARE = 0.25
+BRIEF_S, BRIEF_RECOVERY_S = 0.8, 1.2  # of a brief run: faults begin and last, and what is left for an election
 MEMBER_SHARE = 0.4
 REPLACE_S = (5.0, 8.0)  # syncS and more: the new one has to be there
 
@@ -83,6 +85,22 @@
     return Plan(tuple(faults), tuple(spans), at)
 
 
+def draw_brief(random: Random, names: list[str]) -> Plan:
+    """A few short faults close together, and no calm between them."""
+    if random.random() < BRIEF_LOSS_SHARE:
+        lost = _loss(random, names, [], 0.1, BRIEF_S, 1)
+        faults = [replace(fault, for_s=min(fault.for_s, BRIEF_S)) for fault in lost]
+    else:
+        faults = [_brief_fault(random, names) for _ in range(random.randint(1, 3))]
+    end = max(fault.at + fault.for_s for fault in faults) + BRIEF_RECOVERY_S
+    return Plan(tuple(sorted(faults, key=lambda fault: fault.at)), (), end)
+
+
+def _brief_fault(random: Random, names: list[str]) -> Fault:
+    kind, name = random.choice(KINDS), random.choice([LEADER, *names])
+    return Fault(random.uniform(0.1, BRIEF_S), kind, (name,), random.uniform(0.05, BRIEF_S))
+
+
 def _member_change(random: Random, names: list[str], at: float) -> Fault:
     kind = random.choice(MEMBER_KINDS)
     duration = random.uniform(*REPLACE_S) if kind in ("replace", "restart_in_turn") else _duration(random)
--- a/otterreach/simulation/invariants.py
+++ b/otterreach/simulation/invariants.py
@@ -9,12 +9,21 @@
 from typing import Any
 
 from otterreach.controller.epochs import is_majority
+from otterreach.controller.replica_state import ReplicaState
 from otterreach.controller.replication import Control
+from otterreach.runtime.store import ReplicatedStore
 from otterreach.simulation.history import History
 from otterreach.simulation.world import ZONES, Box, World
 
 RANKS = {"up": 0, "draining": 1}
 GONE = 2
+CHANGING = (
+    (ReplicaState, "load"),
+    (ReplicaState, "become"),
+    (ReplicaState, "promise"),
+    (ReplicaState, "adopt_configuration"),
+    (ReplicatedStore, "apply"),
+)
 LEAST = {"": 0, "up": 0, "draining": 1, "gone": GONE}  # rank of a server by what was acknowledged
 
 
@@ -26,11 +35,22 @@
         self.primaries: dict[int, str] = {}  # id by number
         self.acked_items: dict[str, int] = {}  # key -> rev
         self._copies: dict[tuple[str, int], _CopySeen] = {}  # by machine and life
-        self._rows: Any = None
-        self._summary: Any = None
-        world.watch(self.summary, self._check_primaries, self._check_copies)
+        world.watch(self.summary, self._check_primaries, self._check_copies, always=False)
 
-    def watch_acknowledgements(self) -> None:
+    def watch(self) -> None:
+        """For as long as the run lasts: look after each step that may have changed a copy or an epoch."""
+        for owner, name in CHANGING:
+            self.world.wrap(owner, name, self._noting)
+        self._watch_acknowledgements()
+
+    def _noting(self, plain: Any) -> Any:
+        def noted(*args: Any) -> Any:
+            self.world.changed = True
+            return plain(*args)
+
+        return noted
+
+    def _watch_acknowledgements(self) -> None:
         """Note what `revise` acknowledges, and hold it against each new primary."""
         invariants = self
 
@@ -71,14 +91,10 @@
 
     def summary(self) -> Any:
         """The state of the run as it is counted: order among numbers and revs, not the figures themselves."""
-        controls = self.controls()
-        rows = [(box.name, c.mode, c.promised, c.number) for box, c in controls]
-        frozen = [box.process.frozen for box in self.world.boxes.values() if box.process]
+        rows = [(box.name, c.mode, c.promised, c.number) for box, c in self.controls()]
+        frozen = tuple(box.process.frozen for box in self.world.boxes.values() if box.process)
         revs = [box.node.store.rev if box.up and box.node else -1 for box in self.world.boxes.values()]
-        if (rows, frozen, revs) != self._rows:  # the rest is dear, and asked for after each step
-            self._rows = (rows, frozen, revs)
-            self._summary = _ranked(rows), tuple(frozen), _order(revs)
-        return self._summary
+        return _ranked(rows), frozen, _order(revs)
 
     def _check_primaries(self) -> None:
         for _, control in self.controls():
--- a/otterreach/simulation/world.py
+++ b/otterreach/simulation/world.py
@@ -92,6 +92,7 @@
         if self.up or not self.world.net.machine(self.ip).powered:
             return
         self.lives += 1
+        self.world.changed = True
         process = self.process = Process(self.name, self.ip)
         self.world.processes.append(process)
         task = process.start(self.world.loop, self._run())
@@ -117,6 +118,7 @@
             self.process.kill()
             self.world.net.process_ended(self.process)
             self.first = False
+            self.world.changed = True
             self.node = self.object = None
 
     def terminate(self) -> None:
@@ -137,10 +139,12 @@
 
     def freeze(self, late: bool = False) -> None:
         if self.process and not self.process.dead:
+            self.world.changed = True
             self.world.net.freeze(self.process, late)
 
     def thaw(self) -> None:
         if self.process and self.process.frozen:
+            self.world.changed = True
             self.world.net.thaw(self.process)
 
 
