--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -13,6 +13,7 @@
 from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
 from otterreach.controller.survival import Place, limits_of
+from otterreach.controller.tombstones import TombstoneClock
 from otterreach.jobstore.messages import DiskStalled, Leaving, PartLost, PartSynced
 from otterreach.jobstore.placement import PARTITIONS
 from otterreach.proxy.messages import Loaded, Release
@@ -49,6 +50,7 @@
         self.control = Control(settings, node.endpoint, journal, node.follower, node.random, self._office)
         self.api = ApiRouter(settings, self.control, node.follower, self._stores_when_settled, self._server_heard)
         self.server = JsonServer(self.api.handle)
+        self.tombstone_clock = TombstoneClock(lambda: self.control.state)
         self._settled_at = 0.0
         self._lost: dict[tuple[int, str], float] = {}  # (partition, backup): when its primary last said so
         self._stalled: dict[str, float] = {}  # by node#disk: when it last said that its disk takes nothing
@@ -175,7 +177,7 @@
         state, key = self.control.state, f"member/{ask.node}"
         value = {"role": ask.role, "address": ask.address, "zone": ask.zone, "region": ask.region, "disk": ask.disk}
         if state.get(key) == value:
-            return Done()
+            return await self._done_when_committed()
         others = [
             (f"member/{name}", b"")
             for name, m in state.named("member").items()
@@ -192,6 +194,7 @@
         if primary:
             self._settled_at = self.loop.time() + SETTLE_S
             now = self.loop.time()
+            self.tombstone_clock.begin_period(now)
             for node, known in self.control.state.named("member").items():
                 self.heard[member(node, known["disk"])] = now
             for ident in self.control.state.named("server"):
@@ -213,6 +216,12 @@
                     self._plan_servers()
                     self._plan_duties()
                     self._plan_members()
+                    self._collect_tombstones(now)
+
+    def _collect_tombstones(self, now: float) -> None:
+        changes = self.tombstone_clock.due_change(now)
+        if changes:
+            self.control.revise(changes)
 
     def _tell_core(self) -> None:
         record = self.control.accepted
@@ -358,23 +367,27 @@
         duty = self.control.state.get(f"duty/{told.server}")
         self._leaving[told.node] = self.loop.time()
         if not duty or duty["holder"] != told.node:
-            return Done()
+            return await self._done_when_committed()
         stayers = self._stayers()
         if not stayers:
             return Failure(Code.TOO_FEW_LEFT, "no other proxy")
         done = await self.control.revise([self._duty(told.server, stayers, True, told.ordered_ms / 1000)])
         return Done() if done else Failure(Code.NOT_SYNCED, "not noted")
 
+    async def _done_when_committed(self) -> Done | Failure:
+        """The answer to a call that has nothing left to change, once what it rests on can't be lost any more."""
+        return Done() if await self.control.committed() else Failure(Code.NOT_SYNCED, "not at all copies")
+
     async def _loaded(self, link: Link, told: Loaded) -> Done | Failure:
         if not self.control.is_primary:
             return Failure(Code.NOT_PRIMARY, self.control.primary_address)
         key = f"server/{told.server}"
         server = self.control.state.get(key)
         if not server:
-            return Done()
+            return await self._done_when_committed()
         models = [m | {"gen": max(told.gen, m["gen"])} if m["name"] == told.model else m for m in server["models"]]
         if models == server["models"]:
-            return Done()
+            return await self._done_when_committed()
         done = await self.control.revise([(key, json.dumps(server | {"models": models}).encode())])
         return Done() if done else Failure(Code.NOT_SYNCED, "not noted")
 
