--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -47,7 +47,7 @@
             if promise_during_probe:
                 witnesses.during_probe = lambda: replica.promise(promise_during_probe)
             election = Election(replica, cast(Any, witnesses), Random(1), lambda _: None)
-            promised = await election._collect_promises(base, NUMBER + 1)
+            promised = await election._collect_promises(base, NUMBER + 1, transfer=False)
             return promised, replica.promised
 
         return VirtualLoop().run(work())
