--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -12,9 +12,9 @@
 from otterreach.controller.messages import Sighting, Sightings
 from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
-from otterreach.controller.spread import Place, Spread
+from otterreach.controller.survival import Place, limits_of
 from otterreach.controller.tombstones import TombstoneClock
-from otterreach.jobstore.messages import PartLost, PartSynced
+from otterreach.jobstore.messages import DiskStalled, Leaving, PartLost, PartSynced
 from otterreach.jobstore.placement import PARTITIONS
 from otterreach.proxy.messages import Loaded, Release
 from otterreach.proxy.orders import takeover_s
@@ -31,6 +31,7 @@
 PLAN_S = 0.2
 DEAD_S = 0.9  # a member that no watcher has heard for so long
 TELL_S = 0.25
+ENDING_S = 1.5  # a member that says no more that it is about to end has ended, or stays
 STALL_S = 0.4  # the loop stood still for longer: nobody else is to blame for silence
 SETTLE_S = 1.0  # after coming into office, or a stall, before anyone is held to be dead
 FRONT_GONE_S, MEMBER_GONE_S = 8.0, 60.0  # silence after which a member that keeps nothing is forgotten
@@ -52,11 +53,14 @@
         self.tombstone_clock = TombstoneClock(lambda: self.control.state)
         self._settled_at = 0.0
         self._lost: dict[tuple[int, str], float] = {}  # (partition, backup): when its primary last said so
+        self._stalled: dict[str, float] = {}  # by node#disk: when it last said that its disk takes nothing
+        self._ending: dict[str, float] = {}  # by node#disk: when it last said that it is about to end
+        self._left: dict[str, float] = {}  # by node#disk: when it said farewell
         self._stores_since = 0.0
         self._leaving: dict[str, float] = {}  # proxies that let go of their duties, and when
         self._stores: frozenset[str] = frozenset()
-        self.wanted = Spread.surviving(settings.survive_nodes, settings.survive_zones, settings.survive_regions)
-        self._attainable = self.wanted
+        self.limits = limits_of(settings)
+        self._attainable = self.limits
         for kind, handler in (
             (Announce, self._announce),
             (Heartbeat, self._heartbeat),
@@ -64,6 +68,8 @@
             (Sightings, self._sightings),
             (PartSynced, self._synced),
             (PartLost, self._part_lost),
+            (DiskStalled, self._disk_stalled),
+            (Leaving, self._store_leaving),
             (Loaded, self._loaded),
             (Release, self._release),
         ):
@@ -93,8 +99,26 @@
     async def _farewell(self, link: Link, told: Farewell) -> Done | Failure:
         if not self.control.is_primary:
             return Failure(Code.NOT_PRIMARY, self.control.primary_address)
-        self.heard[member(told.node, told.disk)] = self.loop.time() - 2 * DEAD_S
-        log("farewell", member=member(told.node, told.disk))
+        name, now = member(told.node, told.disk), self.loop.time()
+        self.heard[name], self._left[name] = now - 2 * DEAD_S, now
+        self._ending.pop(name, None)
+        log("farewell", member=name)
+        return Done()
+
+    async def _disk_stalled(self, link: Link, told: DiskStalled) -> None:
+        name = member(told.node, told.disk)
+        if name not in self._stalled:
+            log("disk_stalled", level="WARNING", member=name, waiting_ms=told.waiting_ms)
+        self._stalled[name] = self.loop.time()
+
+    async def _store_leaving(self, link: Link, told: Leaving) -> Done | Failure:
+        if not self.control.is_primary:
+            return Failure(Code.NOT_PRIMARY, self.control.primary_address)
+        name = member(told.node, told.disk)
+        others = [m for m in self.stores().usable if m != name]
+        if len(others) <= self.limits.nodes:
+            return Failure(Code.TOO_FEW_LEFT, f"{len(others)} others")
+        self._ending[name] = self.loop.time()
         return Done()
 
     async def _sightings(self, link: Link, told: Sightings) -> None:
@@ -129,7 +153,13 @@
 
     def _living_stores(self) -> set[str]:
         now = self.loop.time()
-        return {name for name in self._store_members() if now - self.heard.get(name, -1e9) < DEAD_S}
+        self._stalled = {name: at for name, at in self._stalled.items() if now - at < DEAD_S}
+        return {name for name in self._store_members() if self._lives(name, now) and name not in self._stalled}
+
+    def _lives(self, name: str, now: float) -> bool:
+        """Whether it was heard of late, and after it said farewell."""
+        heard = self.heard.get(name, -1e9)
+        return now - heard < DEAD_S and heard >= self._left.get(name, -1e9)
 
     def _store_members(self) -> dict[str, Place]:
         """Place of each job store node that is known, by node#disk."""
@@ -147,7 +177,7 @@
         state, key = self.control.state, f"member/{ask.node}"
         value = {"role": ask.role, "address": ask.address, "zone": ask.zone, "region": ask.region, "disk": ask.disk}
         if state.get(key) == value:
-            return Done()
+            return await self._done_when_committed()
         others = [
             (f"member/{name}", b"")
             for name, m in state.named("member").items()
@@ -208,6 +238,9 @@
         living, places = self._living_stores(), self._store_members()
         # Another disk at the same name is another machine, and not meant.
         retiring = {member(node, r["disk"]) for node, r in self.control.state.named("retire").items()}
+        now = self.loop.time()
+        self._ending = {name: at for name, at in self._ending.items() if now - at < ENDING_S}
+        retiring |= set(self._ending)
         return Stores({m: places[m] for m in sorted(living)}, frozenset(living & retiring))
 
     def _stores_when_settled(self) -> Stores | None:
@@ -224,21 +257,21 @@
         if known != self._stores:
             self._stores, self._stores_since = known, now
         if not records:
-            patience = SETTLE_S if stores.attainable(self.wanted) == self.wanted else FULL_SPREAD_WAIT_S
+            patience = SETTLE_S if stores.attainable(self.limits) == self.limits else FULL_SPREAD_WAIT_S
             if now - self._stores_since > patience:
-                self._revise_parts(planner.initial_records(PARTITIONS, self.wanted, stores))
+                self._revise_parts(planner.initial_records(PARTITIONS, self.limits, stores))
             return
         self._log_spread(stores)
-        self._revise_parts(planner.plan(records, self.wanted, stores, self._lost_now()))
+        self._revise_parts(planner.plan(records, self.limits, stores, self._lost_now()))
 
     def _log_spread(self, stores: Stores) -> None:
         """Say so when the machines that live begin or end to allow less than is asked for."""
-        attainable = stores.attainable(self.wanted)
+        attainable = stores.attainable(self.limits)
         if attainable != self._attainable:
             self._attainable = attainable
-            short = attainable != self.wanted
+            short = attainable != self.limits
             level = "WARNING" if short else "INFO"
-            log("spread", level=level, short=short, zones=attainable.zones, regions=attainable.regions)
+            log("spread", level=level, short=short, survive_zones=attainable.zones, survive_regions=attainable.regions)
 
     async def _part_lost(self, link: Link, told: PartLost) -> None:
         record = self.parts().get(told.part)
@@ -334,23 +367,27 @@
         duty = self.control.state.get(f"duty/{told.server}")
         self._leaving[told.node] = self.loop.time()
         if not duty or duty["holder"] != told.node:
-            return Done()
+            return await self._done_when_committed()
         stayers = self._stayers()
         if not stayers:
             return Failure(Code.TOO_FEW_LEFT, "no other proxy")
         done = await self.control.revise([self._duty(told.server, stayers, True, told.ordered_ms / 1000)])
         return Done() if done else Failure(Code.NOT_SYNCED, "not noted")
 
+    async def _done_when_committed(self) -> Done | Failure:
+        """The answer to a call that has nothing left to change, once what it rests on can't be lost any more."""
+        return Done() if await self.control.committed() else Failure(Code.NOT_SYNCED, "not at all copies")
+
     async def _loaded(self, link: Link, told: Loaded) -> Done | Failure:
         if not self.control.is_primary:
             return Failure(Code.NOT_PRIMARY, self.control.primary_address)
         key = f"server/{told.server}"
         server = self.control.state.get(key)
         if not server:
-            return Done()
+            return await self._done_when_committed()
         models = [m | {"gen": max(told.gen, m["gen"])} if m["name"] == told.model else m for m in server["models"]]
         if models == server["models"]:
-            return Done()
+            return await self._done_when_committed()
         done = await self.control.revise([(key, json.dumps(server | {"models": models}).encode())])
         return Done() if done else Failure(Code.NOT_SYNCED, "not noted")
 
@@ -362,7 +399,7 @@
             return Failure(Code.STALE_EPOCH, "another epoch")
         if told.member in record.learners:
             stores = self.stores().without(self._lost_now().get(told.part, set()) - {record.primary})
-            new = planner.synced(record, told.member, self.wanted, stores)
+            new = planner.synced(record, told.member, self.limits, stores)
             self._revise_parts({told.part: new})
         return Done()
 
--- a/tests/jobstore_world.py
+++ b/tests/jobstore_world.py
@@ -12,15 +12,17 @@
 from unittest import mock
 
 from otterreach.controller import planner
-from otterreach.controller.spread import Place, Spread
+from otterreach.controller.survival import Place, SurviveLimits
 from otterreach.jobstore.jobs import Kind
 from otterreach.jobstore.leadership import PartitionLeader
 from otterreach.jobstore.messages import (
     Assign,
     CancelJob,
+    DiskStalled,
     EndJob,
     Finished,
     ItemBody,
+    Leaving,
     PartLost,
     PartSynced,
     Pong,
@@ -51,7 +53,8 @@
 }
 ROUTE = {"name": "r-lot", "host": "h", "prefix": "/p/", "kind": "rollout", "dueMs": 5000, "maxWaitS": 30}
 REGISTRAR = "core:7000"
-TWO = Spread.surviving(1, 0, 0)
+STALL_HOLDS_S = 0.9  # a disk that was told to stall counts as usable again so much later
+TWO = SurviveLimits(1)
 
 
 def body_of(job: str, item: int) -> bytes:
@@ -84,6 +87,9 @@
         self.follower = SimpleNamespace(primary=REGISTRAR, controllers=[REGISTRAR], root_at=0.0)
         self.stopping = asyncio.Event()
 
+    async def ask_primary(self, ask: Any, timeout_s: float = 0.8) -> Any:
+        return await self.endpoint.call(REGISTRAR, ask, timeout_s)
+
     @property
     def member(self) -> str:
         return member(self.settings.node, self.disk)
@@ -138,12 +144,12 @@
     """Everything. `alive` is what the controller believes."""
 
     def __init__(
-        self, stores: int = 3, seed: int = 1, wanted: Spread = TWO, zones: dict[str, str] | None = None
+        self, stores: int = 3, seed: int = 1, limits: SurviveLimits = TWO, zones: dict[str, str] | None = None
     ) -> None:
         self.random = Random(seed)
         self.net = Net(self.random)
         self.control = ReplicatedStore()
-        self.wanted, self.rev = wanted, 0
+        self.limits, self.rev = limits, 0
         self.zones = zones or {}  # by name; else each store is a zone of its own
         self.failures: list[BaseException] = []
         self.stores: dict[str, Store] = {}
@@ -153,6 +159,10 @@
         self.controller = VirtualEndpoint(self.net, REGISTRAR)
         self.controller.on(PartSynced, self._synced)
         self.controller.on(PartLost, self._lost)
+        self.controller.on(DiskStalled, self._disk_stalled)
+        self.controller.on(Leaving, self._leaving)
+        self.stalled: dict[str, float] = {}  # members whose disks take nothing, and when they last said so
+        self.leaving: set[str] = set()
         self.put("config", {"gen": 1, "routes": [ROUTE], "backends": []})
         self.founding = stores
         for n in range(stores):
@@ -212,7 +222,10 @@
         self.plan()
 
     def known(self) -> planner.Stores:
-        return planner.Stores({m: Place(self.zone(m.partition("#")[0]), "r") for m in sorted(self.alive)})
+        now = asyncio.get_running_loop().time()
+        stalled = {m for m, at in self.stalled.items() if now - at < STALL_HOLDS_S}
+        places = {m: Place(self.zone(m.partition("#")[0]), "r") for m in sorted(self.alive - stalled)}
+        return planner.Stores(places, frozenset(self.leaving & set(places)))
 
     def zone(self, name: str) -> str:
         return self.zones.get(name, name)
@@ -225,9 +238,9 @@
         if not records and len(self.stores) < self.founding:
             return
         plan = (
-            planner.plan(records, self.wanted, known)
+            planner.plan(records, self.limits, known)
             if records
-            else planner.initial_records(PARTITIONS, self.wanted, known)
+            else planner.initial_records(PARTITIONS, self.limits, known)
         )
         for n, part in plan.items():
             self.put(f"part/{n}", part.json())
@@ -237,12 +250,24 @@
         if record.epoch != told.epoch:
             return Failure(Code.STALE_EPOCH, "another epoch")
         if told.member in record.learners:
-            self.put(f"part/{told.part}", planner.synced(record, told.member, self.wanted, self.known()).json())
+            self.put(f"part/{told.part}", planner.synced(record, told.member, self.limits, self.known()).json())
         return Done()
 
     async def _lost(self, link: Any, told: PartLost) -> None:
         self.lost.append(told)
 
+    async def _disk_stalled(self, link: Any, told: DiskStalled) -> None:
+        self.stalled[member(told.node, told.disk)] = asyncio.get_running_loop().time()
+        self.plan()
+
+    async def _leaving(self, link: Any, told: Leaving) -> Done | Failure:
+        name, known = member(told.node, told.disk), self.known()
+        if len([m for m in known.usable if m != name]) <= self.limits.nodes:
+            return Failure(Code.TOO_FEW_LEFT, "too few others")
+        self.leaving.add(name)
+        self.plan()
+        return Done()
+
     def primary_of(self, job: str) -> Store:
         return self.stores[self.parts()[part_of(job)].primary.partition("#")[0]]
 
--- a/tests/test_controller.py
+++ b/tests/test_controller.py
@@ -5,11 +5,15 @@
 import asyncio
 import json
 import unittest
+from collections.abc import Awaitable, Callable
 from typing import Any
 
+from otterreach.controller.messages import Sighting, Sightings
 from otterreach.controller.node import FRONT_GONE_S, ControllerNode
+from otterreach.controller.survival import SurviveLimits
+from otterreach.jobstore.messages import DiskStalled, Leaving
 from otterreach.proxy.messages import Loaded, Release
-from otterreach.runtime.codes import Failure
+from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.node import WATCHERS, Announce, Farewell, Heartbeat, ring_of
 from otterreach.runtime.rpc import Done
 from otterreach.runtime.settings import read
@@ -33,6 +37,7 @@
 
     def __init__(self) -> None:
         self.state, self.is_primary, self.primary_address, self.rev = ReplicatedStore(), True, "", 0
+        self.is_committed = True
 
     def revise(self, changes: list[tuple[str, bytes]]) -> asyncio.Future[bool]:
         for key, value in changes:
@@ -42,6 +47,9 @@
         future.set_result(True)
         return future
 
+    async def committed(self) -> bool:
+        return self.is_committed
+
 
 class Stage:
     def __init__(self) -> None:
@@ -50,6 +58,8 @@
         self.control = Control()
         controller.settings, controller.control, controller.loop = SETTINGS, self.control, asyncio.get_running_loop()
         controller.heard, controller.heard_servers, controller._leaving, controller._lost = {}, {}, {}, {}
+        controller._stalled, controller._ending, controller._left = {}, {}, {}
+        controller.limits = SurviveLimits(1)
 
     async def member(self, node: str, role: str, disk: str = "") -> None:
         link: Any = None
@@ -136,6 +146,28 @@
 
         self.play(scene)
 
+    def test_a_repeat_is_not_confirmed_before_it_is_committed(self) -> None:
+        """What the first call changed may still vanish with the primary."""
+
+        async def scene(stage: Stage) -> None:
+            link: Any = None
+            announce = Announce("front-1", "", "front", "front-1:1", "z", "r")
+            stage.server("a", gen=3)
+            calls: list[Callable[[], Awaitable[Any]]] = [
+                lambda: stage.controller._announce(link, announce),
+                lambda: stage.controller._loaded(link, Loaded("a", "m", 3)),
+                lambda: stage.controller._loaded(link, Loaded("unknown", "m", 3)),
+                lambda: stage.controller._release(link, Release("front-1", "a", 500)),
+            ]
+            self.assertEqual(await calls[0](), Done())
+            for call in calls:
+                self.assertEqual(await call(), Done())
+            stage.control.is_committed = False
+            for call in calls:
+                self.assertIsInstance(await call(), Failure)
+
+        self.play(scene)
+
     def test_a_silent_carrier_is_forgotten_and_a_store_that_keeps_something_is_not(self) -> None:
         async def scene(stage: Stage) -> None:
             await stage.member("front-1", "front")
@@ -171,6 +203,49 @@
 
         self.play(scene)
 
+    def test_what_watchers_heard_before_a_farewell_does_not_bring_a_member_back(self) -> None:
+        async def scene(stage: Stage) -> None:
+            link: Any = None
+            await stage.member("store-1", "store", "d1")
+            await asyncio.sleep(0.1)
+            await stage.controller._farewell(link, Farewell("store-1", "d1"))
+            await asyncio.sleep(0.1)
+            await stage.controller._sightings(link, Sightings("core-2", [Sighting("store-1#d1", 150)], []))
+            self.assertEqual(stage.controller.stores().usable, [])
+
+        self.play(scene)
+
+    def test_a_member_whose_disk_stalls_is_as_good_as_lost_while_it_says_so(self) -> None:
+        async def scene(stage: Stage) -> None:
+            link: Any = None
+            await stage.member("store-1", "store", "d1")
+            await stage.controller._disk_stalled(link, DiskStalled("store-1", "d1", 700))
+            self.assertEqual(stage.controller.stores().places, {})
+            for _ in range(5):
+                await asyncio.sleep(0.25)
+                await stage.beat("store-1", "d1")
+            self.assertEqual(stage.controller.stores().usable, ["store-1#d1"])
+
+        self.play(scene)
+
+    def test_one_that_is_about_to_end_is_treated_as_retiring_if_others_can_take_its_copies(self) -> None:
+        async def scene(stage: Stage) -> None:
+            link: Any = None
+            for node in ("store-1", "store-2"):
+                await stage.member(node, "store", "d")
+            reply = await stage.controller._store_leaving(link, Leaving("store-1", "d"))
+            self.assertIs(Code.TOO_FEW_LEFT, getattr(reply, "code", None))
+            await stage.member("store-3", "store", "d")
+            self.assertEqual(await stage.controller._store_leaving(link, Leaving("store-1", "d")), Done())
+            self.assertEqual(stage.controller.stores().usable, ["store-2#d", "store-3#d"])
+            for _ in range(7):
+                await asyncio.sleep(0.25)
+                for node in ("store-1", "store-2", "store-3"):
+                    await stage.beat(node, "d")
+            self.assertEqual(len(stage.controller.stores().usable), 3)
+
+        self.play(scene)
+
     def test_silent_servers_are_marked_and_heard_ones_are_not(self) -> None:
         async def scene(stage: Stage) -> None:
             stage.server("a")
