Test: 2,000 changes with restarts and losses of power, 600 routes: file, state and catching up

The stand-in for a follower in test_control_primary has a real store, as a primary publishes its whole state at its start.

--- a/tests/test_control_primary.py
+++ b/tests/test_control_primary.py
@@ -13,6 +13,7 @@
 from otterreach.controller.replica_state import Mode, ReplicaState
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.rpc import Done
+from otterreach.runtime.store import ReplicatedStore
 from otterreach.simulation.disk import Disk, VirtualJournal
 from tests import virtual
 from tests.test_controller import SETTINGS
@@ -22,12 +23,9 @@
     """Takes no part: nothing is published to anyone."""
 
     def __init__(self) -> None:
-        self.store, self.relay, self.primary, self.root_at = self, self, "", 0.0
+        self.store, self.relay, self.primary, self.root_at = ReplicatedStore(), self, "", 0.0
         self.published: list[Any] = []
 
-    def apply(self, items: Any) -> list[Any]:
-        return list(items)
-
     def publish(self, items: list[Any]) -> None:
         self.published += items
 
--- /dev/null
+++ b/tests/test_many_changes.py
@@ -0,0 +1,96 @@
+"""After 2,000 changes with restarts and losses in between, 600 routes: file and time to catch up stay bounded."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import unittest
+from random import Random
+from typing import Any, cast
+
+from otterreach.controller.messages import AppendItems
+from otterreach.controller.replica_state import ITEMS, ReplicaState
+from otterreach.controller.replication import REWRITE
+from otterreach.controller.tombstones import PERIODS, TombstoneClock, collected_rev
+from otterreach.runtime.codec import encode
+from otterreach.runtime.compaction import Compaction
+from otterreach.runtime.store import Item
+from otterreach.simulation.disk import Disk, VirtualJournal
+from tests.test_snapshot import SETTINGS, Link, Receiver, sender_on
+from tests.virtual import run
+
+CHANGES, ROUTES, RESTART_EVERY, CHANGE_S = 2000, 600, 100, 2.0
+DUTY = json.dumps({"holder": "front-1", "wait_ms": 0}).encode()
+SERVER = json.dumps({"backend": "b", "addr": "10.0.0.1:80", "az": "z", "cap": 8, "state": "up", "models": []}).encode()
+
+
+def configuration(gen: int) -> bytes:
+    routes = [{"name": f"r{n}", "host": f"h{n}.example", "prefix": "/", "backend": f"b{n}"} for n in range(ROUTES)]
+    routes[gen % ROUTES]["prefix"] = f"/{gen}"
+    return json.dumps({"gen": gen, "routes": routes}).encode()
+
+
+class Controller:
+    """The state of a primary and its journal; its processes end and begin, and at times the power goes."""
+
+    def __init__(self) -> None:
+        self.disk, self.rev, self.longest = Disk(Random(3)), 0, 0
+        self.start()
+
+    def start(self) -> None:
+        self.journal = VirtualJournal(self.disk)
+        records = self.journal.read()
+        self.replica = ReplicaState(SETTINGS, cast(Any, self.journal))
+        self.replica.load(records)
+        self.compaction = Compaction(self.journal, self.replica.live_records, self.replica.live_bytes, REWRITE)
+        self.clock = TombstoneClock(lambda: self.replica.store)
+        self.clock.begin_period(self.replica.loop.time())
+
+    async def write(self, changes: list[tuple[str, bytes]]) -> None:
+        items = []
+        for key, value in changes:
+            self.rev += 1
+            items.append(Item(key, self.rev, value))
+        self.replica.store.apply(items)
+        self.journal.append(ITEMS, encode(AppendItems(1, items)))
+        assert await self.journal.sync()
+        self.replica.store.collect(collected_rev(self.replica.store))
+        self.compaction.start_if_due()
+        self.longest = max(self.longest, len(self.disk.data))
+
+
+class ManyChangesTest(unittest.TestCase):
+    def test_file_state_and_catching_up_stay_bounded(self) -> None:
+        async def scene() -> None:
+            controller, loop = Controller(), asyncio.get_running_loop()
+            for n in range(CHANGES):
+                ended = [(f"server/{n - 1}", b""), (f"duty/{n - 1}", b"")] if n else []
+                started = [(f"server/{n}", SERVER), (f"duty/{n}", DUTY)]
+                await controller.write([("config", configuration(n)), *ended, *started])
+                await asyncio.sleep(CHANGE_S)
+                if due := controller.clock.due_change(loop.time()):
+                    await controller.write(due)
+                if n % RESTART_EVERY == RESTART_EVERY - 1:
+                    before = dict(controller.replica.store.items)
+                    controller.disk.power_lost()
+                    controller.start()
+                    self.assertEqual(before, controller.replica.store.items)
+            store = controller.replica.store
+            live = store.bytes
+            print(f"items {len(store.items)}, state {live} B, longest file {controller.longest} B", end=", ")
+            self.assertLess(len(store.items), 4 * (PERIODS + 3) * 60 / CHANGE_S)
+            self.assertLess(controller.longest, REWRITE.bytes + 5 * live)
+            receiver = Receiver()
+            link = Link(receiver)
+            began = loop.time()
+            self.assertTrue(await sender_on(link).install(receiver.info, 2, store))
+            seconds = loop.time() - began
+            print(f"catching up {seconds:.2f} s and {link.bytes} B over 30 Mbit/s")
+            self.assertEqual(store.items, receiver.replica.store.items)
+            self.assertLess(seconds, 2.0)
+
+        run(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
