--- a/otterreach/controller/membership.py
+++ b/otterreach/controller/membership.py
@@ -8,6 +8,7 @@
 from otterreach.controller.messages import JoinRequest
 from otterreach.controller.primary import Primary
 from otterreach.controller.replica_state import Mode, ReplicaState
+from otterreach.controller.snapshot import Preparation
 from otterreach.controller.survival import choose_replicas, choose_voters, may_remove_voter
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.log import log
@@ -30,6 +31,7 @@
         self.replica, self.endpoint, self.follower = replica, endpoint, follower
         self.election, self.primary = election, primary
         self.settings = replica.settings
+        self.preparation = Preparation(replica, election.snapshots)
         self.joiners: dict[str, ControllerInfo] = {}
         self._leaving: dict[str, float] = {}  # who said that it ends, and when
         self._improved_at = -IMPROVE_S
@@ -68,11 +70,18 @@
             return  # all members are here: nobody else may lead, and no change can come into force
         change = self._wanted_change(configuration, silence)
         better = self._better_backups(configuration, silence)
-        if change.add or change.drop or lost or better:
+        if not (change.add or change.drop or lost or better):
+            return
+        if self.preparation.is_ready([*change.add, *self._living_learners(configuration, silence)]):
             drop = len(change.drop)
             log("reform", node=self.settings.node, add=len(change.add), drop=drop, lost=len(lost), better=len(better))
             await self.election.run(change)
 
+    def _living_learners(self, configuration: EpochConfiguration, silence: dict[str, float]) -> list[ControllerInfo]:
+        """Witnesses that could become backups."""
+        outside = [w for w in configuration.witnesses if w.id not in configuration.members]
+        return [w for w in outside if silence.get(w.id, 0.0) <= BACKUP_LOST_S and w.id not in self.leaving]
+
     def _wanted_change(self, configuration: EpochConfiguration, silence: dict[str, float]) -> MembershipChange:
         """Joiners in; out those whose place a joiner takes, who upset the balance of zones, or who were silent for
         long while the others still bear each allowed loss."""
