Load test: a module for each kind of server

Change: connection, server, plain_server, engine_server, servers; statuses by name; handlers called on_request, on_call and on_management. Behaviour is the same.

--- a/otterreach/loadtest/engine.py
+++ b/otterreach/loadtest/engine.py
@@ -263,7 +263,7 @@
     def _of(self, order: Order) -> list[Run]:
         return [run for run in (*self.running, *self.waiting) if run.ask.model == order.model]
 
-    def _tend_order(self, dt_s: float, outcomes: list[Event | End]) -> None:
+    def _advance_order(self, dt_s: float, outcomes: list[Event | End]) -> None:
         order = self.order
         if order is None:
             return
@@ -291,7 +291,7 @@
     def tick(self, dt_s: float) -> list[Event | End]:
         """So much time has passed."""
         outcomes: list[Event | End] = []
-        self._tend_order(dt_s, outcomes)
+        self._advance_order(dt_s, outcomes)
         self._admit()
         self._read(dt_s)
         self._make(dt_s, outcomes)
--- /dev/null
+++ b/otterreach/loadtest/plain_server.py
@@ -0,0 +1,88 @@
+"""A server that answers each request at once, after some work: no stream, no weights."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from http import HTTPStatus
+
+from otterreach.loadtest.connection import Connection
+from otterreach.loadtest.ledger import body_of
+from otterreach.loadtest.server import Server
+from otterreach.sidecar import http1
+
+NO_DEADLINE_S = 60.0
+
+
+class _Call:
+    """A request at a plain server."""
+
+    def __init__(self, connection: Connection, ident: str, body: bytes, came_at: float, deadline: float) -> None:
+        self.connection, self.ident, self.body = connection, ident, body
+        self.came_at, self.deadline = came_at, deadline
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class PlainServer(Server):
+    """So many requests at a time, each for about its work; a few wait."""
+
+    def fresh(self) -> None:
+        self.working: set[_Call] = set()
+        self.queued: deque[_Call] = deque()
+
+    def figures(self) -> tuple[int, int]:
+        return len(self.working), len(self.queued)
+
+    def on_call(self, connection: Connection, request: http1.Request) -> None:
+        now = self.scene.now()
+        told = connection.header(b"deadline-ms")
+        deadline = now + (int(told) / 1000 if told.isdigit() else NO_DEADLINE_S)
+        call = _Call(connection, connection.header(b"request-id"), request.body, now, deadline)
+        connection.dropped = lambda: self._drop(call)
+        if len(self.working) < self.spec.cap:
+            self._start(call)
+        elif len(self.queued) < self.spec.queue:
+            self.queued.append(call)
+        else:
+            self.turn_away(connection, HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _start(self, call: _Call) -> None:
+        self.working.add(call)
+        self.began(call.ident)
+        work_s = self.spec.work_ms / 1000 * self.slow * self.scene.random.uniform(0.6, 1.4)
+        late = self.scene.now() + work_s > call.deadline
+        wait_s = max(0.0, call.deadline - self.scene.now()) if late else work_s
+        call.timer = asyncio.get_running_loop().call_later(wait_s, self._finish, call, late)
+
+    def _finish(self, call: _Call, late: bool) -> None:
+        self.working.discard(call)
+        if not self.dark and self.state != "down":
+            self._answer(call, late)
+        self._go_on()
+
+    def _answer(self, call: _Call, late: bool) -> None:
+        if late:
+            call.connection.respond(HTTPStatus.GATEWAY_TIMEOUT)
+        elif self.fails():
+            self.scene.ledger.failures[call.ident] += 1
+            call.connection.respond(HTTPStatus.INTERNAL_SERVER_ERROR)
+        else:
+            body = body_of(call.ident, call.body)
+            call.connection.respond(HTTPStatus.OK, (("Reply-Seal", self.seal(call.ident, body, call.came_at)),), body)
+
+    def _go_on(self) -> None:
+        while self.queued and len(self.working) < self.spec.cap:
+            call = self.queued.popleft()
+            if self.scene.now() > call.deadline:
+                self.turn_away(call.connection, HTTPStatus.SERVICE_UNAVAILABLE)
+            else:
+                self._start(call)
+
+    def _drop(self, call: _Call) -> None:
+        if call in self.working:
+            self.working.discard(call)
+            if call.timer:
+                call.timer.cancel()
+            self._go_on()
+        elif call in self.queued:
+            self.queued.remove(call)
--- a/otterreach/loadtest/play.py
+++ b/otterreach/loadtest/play.py
@@ -12,12 +12,12 @@
 from typing import Any
 
 from otterreach.cli.caller import Caller
-from otterreach.loadtest import server as servers_module
 from otterreach.loadtest.callers import Callers, Operator
 from otterreach.loadtest.machines import FRONT_PORT, READYZ_PORT, Machine, System
 from otterreach.loadtest.plan import BOUNDS, Fault, Plan
 from otterreach.loadtest.scene import Entry, Front, Scene
 from otterreach.loadtest.server import Server
+from otterreach.loadtest.servers import make_server
 from otterreach.loadtest.trainer import TrainerPart
 from otterreach.loadtest.verify import check_job, check_mutating, check_orders, check_runs
 
@@ -70,9 +70,7 @@
             tell=self.tell,
         )
         self.servers = [
-            servers_module.make(
-                self.scene, spec, n, f"{net}.{SERVERS_NET + kind}.{n + 1}", plan.zones[n % len(plan.zones)]
-            )
+            make_server(self.scene, spec, n, f"{net}.{SERVERS_NET + kind}.{n + 1}", plan.zones[n % len(plan.zones)])
             for kind, spec in enumerate(plan.service)
             for n in range(spec.servers)
         ]
--- a/tests/test_loadtest_checks.py
+++ b/tests/test_loadtest_checks.py
@@ -16,13 +16,14 @@
 from otterreach.loadtest import plan as plan_module
 from otterreach.loadtest import report, verify
 from otterreach.loadtest.callers import Tally
+from otterreach.loadtest.engine_server import EngineServer, read_ask
 from otterreach.loadtest.latency import Latencies
 from otterreach.loadtest.ledger import Ledger, Made, Ordered, Ran, Sealed, event_data, read_line
 from otterreach.loadtest.machines import System
+from otterreach.loadtest.plain_server import PlainServer
 from otterreach.loadtest.plan import PLANS, Plan, configuration, load, read
 from otterreach.loadtest.play import Played
 from otterreach.loadtest.scene import Entry, Front, Scene
-from otterreach.loadtest.server import EngineServer, PlainServer, read_ask
 from otterreach.loadtest.trainer import BatchJob, TrainerPart
 from otterreach.runtime import settings as settings_module
 from otterreach.runtime.codes import Code, Failure
