Plain names in the proxy's estimates and streams, the load test and the hollow processes

Cause: x, bare, look, Sight and archivist stood for slowness, servers without an idle connection, checks of silence, a follower's view and a job store node. Change: names alone.

--- a/otterreach/loadtest/play.py
+++ b/otterreach/loadtest/play.py
@@ -23,7 +23,7 @@
 
 SERVERS_NET = 100  # third part of the addresses of servers, and more for each service
 START_S = 30.0
-LOOK_S = 0.1
+POLL_S = 0.1
 KEPT_S = 5.0  # after traffic: for reading a batch job again
 
 
@@ -108,7 +108,7 @@
         self.tell(f"starting {len(self.system.machines)} machines ({names}) and {len(self.servers)} servers")
         await self.system.start_all()
         settings = self.system.machines[0].file
-        self.tell(f"to look inside meanwhile: python3 -m otterreach.cli owners --settings {settings}")
+        self.tell(f"to inspect it meanwhile: python3 -m otterreach.cli owners --settings {settings}")
         for server in self.servers:
             await server.start()
         self._spawn(self.scene.entry.watch())
@@ -121,7 +121,7 @@
             if self.loop.time() > end:
                 self.played.faults.append("not every front gets ready")
                 return False
-            await asyncio.sleep(LOOK_S)
+            await asyncio.sleep(POLL_S)
         self.played.started_s = self.loop.time() - self.begun
         self.tell("all fronts are ready: traffic begins")
         return True
--- a/otterreach/loadtest/scene.py
+++ b/otterreach/loadtest/scene.py
@@ -38,9 +38,9 @@
 
     async def watch(self) -> None:
         while True:
-            await asyncio.gather(*(self._look(front) for front in self.fronts), asyncio.sleep(READY_S))
+            await asyncio.gather(*(self._probe(front) for front in self.fronts), asyncio.sleep(READY_S))
 
-    async def _look(self, front: Front) -> None:
+    async def _probe(self, front: Front) -> None:
         answer = await ask(front.readyz, "GET", "/readyz")
         ready = not isinstance(answer, Failure) and answer.status == 200
         front.missed = 0 if ready else front.missed + 1
--- a/otterreach/loadtest/trainer.py
+++ b/otterreach/loadtest/trainer.py
@@ -298,7 +298,7 @@
         headers = {b"Content-Type": b"application/json"}
         answer = await self.scene.ctl.call("POST", "/version-put", body, headers, 10.0)
         taken = not isinstance(answer, Failure) and 200 <= answer.status < 300
-        self.scene.counts["versions" if taken else "versions not noted"] += 1
+        self.scene.counts["versions" if taken else "versions not recorded"] += 1
         self.scene.tell(f"version {gen} of {self.row.model} named")
 
     async def read_all(self, job: BatchJob, within_s: float) -> None:
--- a/otterreach/proxy/draw.py
+++ b/otterreach/proxy/draw.py
@@ -31,27 +31,27 @@
 class Estimate:
     """What is known of one server's speed and load. Ends with its incarnation."""
 
-    __slots__ = ("at", "fades_s", "in_flight", "load", "load_at", "since", "x")
+    __slots__ = ("fades_s", "in_flight", "load", "load_at", "sent_since", "slowness", "updated_at")
 
     def __init__(self) -> None:
-        self.x = 0.0  # response time over the usual; 0: nothing heard yet
-        self.at = 0.0
+        self.slowness = 0.0  # response time over the usual; 0: nothing heard yet
+        self.updated_at = 0.0
         self.fades_s = FORGET_S  # half of what is learned is gone after it
         self.in_flight = 0  # own
         self.load, self.load_at = 0, -1e9  # told
-        self.since = 0  # own sends less own ends since it was told
+        self.sent_since = 0  # own sends less own ends since it was told
 
     @property
     def heard(self) -> bool:
-        return self.x > 0
+        return self.slowness > 0
 
     def sent(self) -> None:
         self.in_flight += 1
-        self.since += 1
+        self.sent_since += 1
 
     def ended(self) -> None:
         self.in_flight -= 1
-        self.since -= 1
+        self.sent_since -= 1
 
     def tell_load(self, value: bytes | None, now: float) -> None:
         """Server-Load: running, waiting and slots. What can't be read is as if it weren't there."""
@@ -59,11 +59,11 @@
             return
         parts = value.split(b",")
         if len(parts) >= 2 and all(part.strip().isdigit() for part in parts[:2]):
-            self.load, self.load_at, self.since = int(parts[0]) + int(parts[1]), now, 0
+            self.load, self.load_at, self.sent_since = int(parts[0]) + int(parts[1]), now, 0
 
     def load_now(self, now: float, proxies: int) -> float:
         if now - self.load_at < LOAD_OLD_S:
-            return max(self.in_flight, self.load + self.since)
+            return max(self.in_flight, self.load + self.sent_since)
         return self.in_flight * proxies
 
 
@@ -79,43 +79,45 @@
         """A response time."""
         usual = self._usual.get(route)
         self._usual[route] = seconds if usual is None else usual + USUAL_ALPHA * (seconds - usual)
-        self._take(estimate, seconds / max(usual or seconds, 1e-6), ALPHA, now)
+        self._add_sample(estimate, seconds / max(usual or seconds, 1e-6), ALPHA, now)
 
     def failed(self, estimate: Estimate, route: str, timeout_s: float, now: float) -> None:
         """A time-out, a failed connection or a reset: as if it had lasted the time-out."""
         usual = self._usual.get(route, timeout_s / MOST)
-        self._take(estimate, timeout_s / max(usual, 1e-6), FAIL_ALPHA, now)
+        self._add_sample(estimate, timeout_s / max(usual, 1e-6), FAIL_ALPHA, now)
 
     def refused(self, estimate: Estimate, now: float) -> None:
         """Turned away before it ran."""
-        self._take(estimate, REFUSED, FAIL_ALPHA, now)
+        self._add_sample(estimate, REFUSED, FAIL_ALPHA, now)
         estimate.fades_s = REFUSED_S
 
-    def _take(self, estimate: Estimate, sample: float, alpha: float, now: float) -> None:
+    def _add_sample(self, estimate: Estimate, sample: float, alpha: float, now: float) -> None:
         sample = min(MOST, max(LEAST, sample))
-        old = estimate.x if estimate.heard else 1.0 if alpha == FAIL_ALPHA else sample
-        estimate.x, estimate.at, estimate.fades_s = old + alpha * (sample - old), now, FORGET_S
+        old = estimate.slowness if estimate.heard else 1.0 if alpha == FAIL_ALPHA else sample
+        estimate.slowness, estimate.updated_at, estimate.fades_s = old + alpha * (sample - old), now, FORGET_S
 
     def expected(self, estimates: Sequence[Estimate], now: float, proxies: int = 0) -> list[float]:
         """w_i of each; one not yet heard from takes the mean x of the others, and its own load. `proxies`: that send
         there, if not all."""
-        heard = [e.x for e in estimates if e.heard]
+        heard = [e.slowness for e in estimates if e.heard]
         mean = sum(heard) / len(heard) if heard else 1.0
         proxies = proxies or self.proxies
-        return [(e.load_now(now, proxies) + 1) * self._x_now(e, mean, now) for e in estimates]
+        return [(e.load_now(now, proxies) + 1) * self._slowness_now(e, mean, now) for e in estimates]
 
-    def _x_now(self, estimate: Estimate, mean: float, now: float) -> float:
+    def _slowness_now(self, estimate: Estimate, mean: float, now: float) -> float:
         if not estimate.heard:
             return mean
-        return mean + (estimate.x - mean) * exp2((estimate.at - now) / estimate.fades_s)
+        return mean + (estimate.slowness - mean) * exp2((estimate.updated_at - now) / estimate.fades_s)
 
-    def pick(self, estimates: Sequence[Estimate], now: float, bare: Sequence[bool] = (), proxies: int = 0) -> int:
-        """The place of the one drawn; there must be one. `bare`: those to which no idle connection is at hand."""
+    def pick(
+        self, estimates: Sequence[Estimate], now: float, without_idle: Sequence[bool] = (), proxies: int = 0
+    ) -> int:
+        """The place of the one drawn; there must be one. `without_idle`: those with no idle connection at hand."""
         odds = [1 / w for w in self.expected(estimates, now, proxies)]
-        if any(bare) and not all(bare):
-            new = sum(bare)
+        if any(without_idle) and not all(without_idle):
+            new = sum(without_idle)
             dear = max(NEW_CONNECTION, new / (NEW_SHARE * (len(odds) - new)))
-            odds = [share / dear if without else share for share, without in zip(odds, bare, strict=True)]
+            odds = [share / dear if without else share for share, without in zip(odds, without_idle, strict=True)]
         return draw(self.random, odds)
 
     def choose(self, weights: Sequence[float]) -> int:
--- a/otterreach/proxy/fleet.py
+++ b/otterreach/proxy/fleet.py
@@ -185,10 +185,10 @@
         servers = self.allowed(route, tried, fits)
         if not servers:
             return None
-        bare = [not s.pool.idle for s in servers]
-        return servers[
-            self.draw.pick([s.estimate for s in servers], self.loop.time(), bare, self.sharers(servers[0].service))
-        ]
+        estimates = [server.estimate for server in servers]
+        without_idle = [not server.pool.idle for server in servers]
+        sharers = self.sharers(servers[0].service)
+        return servers[self.draw.pick(estimates, self.loop.time(), without_idle, sharers)]
 
     def may_write(self, server: Server, host: str, path: str) -> bool:
         """By the newest that is known: the request's route is there, and allows this server, which takes requests."""
--- a/otterreach/proxy/streams.py
+++ b/otterreach/proxy/streams.py
@@ -14,7 +14,7 @@
 
 SILENT_LEAST_S = 1.5  # a resumable stream that says nothing for so long is tried elsewhere, if that is possible
 SILENT_OBJECTIVES = 3.0
-LOOK_S = 0.25
+SILENCE_CHECK_S = 0.25
 
 
 class _Relay:
@@ -122,17 +122,17 @@
         silent = max(SILENT_LEAST_S, SILENT_OBJECTIVES * route.target_s)
         may_resume = attempt.repeatable and len(attempt.sent) + 1 < route.tries
         if may_resume:
-            self.loop.call_later(LOOK_S, self._look, exchange, silent)
+            self.loop.call_later(SILENCE_CHECK_S, self._check_silence, exchange, silent)
         return await self.fleet.attempt(server, exchange)
 
-    def _look(self, exchange: Exchange, silent_s: float) -> None:
-        """One look at a time, in place of a timer for each event."""
+    def _check_silence(self, exchange: Exchange, silent_s: float) -> None:
+        """One check at a time, in place of a timer for each event."""
         if exchange.over:
             return
         if exchange.sent_at and self.loop.time() - max(exchange.heard_at, exchange.sent_at) > silent_s:
             exchange.give_up("silent", True)
         else:
-            self.loop.call_later(LOOK_S, self._look, exchange, silent_s)
+            self.loop.call_later(SILENCE_CHECK_S, self._check_silence, exchange, silent_s)
 
     def _ended(self, attempt: Try, route: Route, server: Server, outcome: Outcome, relay: _Relay) -> bool:
         """Whether the client has its last word."""
--- a/otterreach/scaletest/hollow.py
+++ b/otterreach/scaletest/hollow.py
@@ -1,6 +1,7 @@
 """Hollow processes: many sidecars, or many servers, in one process. A hollow front has the real node (relay, store,
-announcements, heartbeats) and pings store_nodes as a proxy does; it takes no requests. A hollow server only sends its
-heartbeats over HTTP. What they see they tell as JSON lines on standard output; orders come as lines on standard input.
+announcements, heartbeats) and pings job store nodes as a proxy does; it takes no requests. A hollow server only sends
+its heartbeats over HTTP. What they see they tell as JSON lines on standard output; orders come as lines on standard
+input.
 """
 
 from __future__ import annotations
@@ -35,7 +36,7 @@
     sys.stdout.flush()
 
 
-class Sight:
+class FollowerView:
     """What a follower has in force, told as it changes."""
 
     def __init__(self, name: str, store: ReplicatedStore, servers: int, members: int, tell: Tell) -> None:
@@ -75,7 +76,7 @@
 
     def __init__(self, settings: Settings, servers: int, members: int, random: Random) -> None:
         self.node = Node(settings, Endpoint(), random)
-        self.sight = Sight(settings.node, self.node.store, servers, members, tell)
+        self.sight = FollowerView(settings.node, self.node.store, servers, members, tell)
         self._stores: dict[str, str] = {}
         self.node.store.watch("member", self._member)
 
--- a/tests/proxy_support.py
+++ b/tests/proxy_support.py
@@ -1,4 +1,4 @@
-"""A proxy's surroundings in memory: servers that do as they are told, clients, store_nodes."""
+"""A proxy's surroundings in memory: servers that do as they are told, clients, job store nodes."""
 
 from __future__ import annotations
 
@@ -283,7 +283,7 @@
     return settings_module.read({"node": "front-0", "machine": "front", "ip": "10.9.0.0", "portRange": [7000, 7010]})
 
 
-ARCHIVIST = "10.8.0.1:7000"
+JOB_STORE_NODE = "10.8.0.1:7000"
 
 
 class FakeLink:
@@ -295,7 +295,7 @@
 
 
 class FakeEndpoint:
-    """The calls of a proxy; one store_node that holds all partitions, unless told otherwise."""
+    """The calls of a proxy; one job store node that holds all partitions, unless told otherwise."""
 
     def __init__(self) -> None:
         self.handlers: dict[type, Any] = {}
@@ -339,9 +339,9 @@
         return Done()
 
 
-def archive(world: World) -> None:
-    """The control state's view of the one store_node."""
-    world.put("member/store-0", {"role": "store", "address": ARCHIVIST})
+def list_job_store_node(world: World) -> None:
+    """The control state's view of the one job store node."""
+    world.put("member/store-0", {"role": "store", "address": JOB_STORE_NODE})
     for part in range(16):
         world.put(f"part/{part}", {"epoch": 1, "primary": "store-0#d", "backups": [], "joining": []})
 
--- a/tests/test_proxy_parts.py
+++ b/tests/test_proxy_parts.py
@@ -20,12 +20,12 @@
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.rpc import Done
 from tests import virtual
-from tests.proxy_support import Caller, FakeEndpoint, World, archive, played, route, serve, settings
+from tests.proxy_support import Caller, FakeEndpoint, World, list_job_store_node, played, route, serve, settings
 
 
 def known(x: float, in_flight: int = 0, at: float = 0.0) -> Estimate:
     estimate = Estimate()
-    estimate.x, estimate.at, estimate.in_flight = x, at, in_flight
+    estimate.slowness, estimate.updated_at, estimate.in_flight = x, at, in_flight
     return estimate
 
 
@@ -85,8 +85,8 @@
             for _ in range(5):
                 draw.answered(estimate, "r", 0.05, 0.0)
         draw.failed(bad, "r", 1.5, 0.0)
-        self.assertGreater(bad.x, 10.0)
-        self.assertLessEqual(bad.x, MOST)
+        self.assertGreater(bad.slowness, 10.0)
+        self.assertLessEqual(bad.slowness, MOST)
         self.assertLess(self.shares(draw, [bad, good])[0], 0.1)
         self.assertGreater(self.shares(draw, [bad, good], FORGET_S * 8)[0], 0.4)
 
@@ -95,7 +95,7 @@
         for _ in range(30):
             draw.answered(estimate, "short", 0.01, 0.0)
             draw.answered(estimate, "long", 1.0, 0.0)
-        self.assertAlmostEqual(estimate.x, 1.0, delta=0.05)
+        self.assertAlmostEqual(estimate.slowness, 1.0, delta=0.05)
 
 
 class Events(unittest.TestCase):
@@ -152,11 +152,11 @@
 
 
 class Calls:
-    """The calls of batch jobs from a client to an store_node that answers as told."""
+    """The calls of batch jobs from a client to a job store node that answers as told."""
 
     def __init__(self) -> None:
         self.world = World([route("l", "/l/", "rollout", targetMs=400)])
-        archive(self.world)
+        list_job_store_node(self.world)
         self.endpoint = FakeEndpoint()
         directory = JobStoreDirectory(
             self.world.fleet, self.endpoint, settings(), lambda: (0, 0, []), lambda _: None, lambda *_: None
--- a/tests/test_proxy_runner.py
+++ b/tests/test_proxy_runner.py
@@ -16,17 +16,17 @@
 from otterreach.runtime.codes import Code, Failure
 from tests import virtual
 from tests.proxy_support import (
-    ARCHIVIST,
+    JOB_STORE_NODE,
     Call,
     FakeEndpoint,
     FakeServer,
     Script,
     World,
     after,
-    archive,
     assign,
     cut,
     fail,
+    list_job_store_node,
     route,
     serve,
     settings,
@@ -39,12 +39,12 @@
 
 
 class Stage:
-    """A runner with its servers and its store_node."""
+    """A runner with its servers and its job store node."""
 
     def __init__(self, **item_route: Any) -> None:
         items = route("l", "/l/", "rollout", backend="lm", maxWaitS=40, dueMs=5000) | item_route
         self.world = World([items, route("score", "/a/", backend="svc", tries=2)])
-        archive(self.world)
+        list_job_store_node(self.world)
         self.world.fronts(1)
         self.endpoint = FakeEndpoint()
         self.runner = Runner(self.world.fleet, self.endpoint, settings())
@@ -363,7 +363,7 @@
 
 class Leases(unittest.TestCase):
     @staged()
-    async def test_nothing_goes_out_without_word_from_the_archivist(self, stage: Stage) -> None:
+    async def test_nothing_goes_out_without_word_from_the_job_store(self, stage: Stage) -> None:
         server = stage.server("i-1", writes(2))
         stage.endpoint.reachable = False
         await asyncio.sleep(CANCEL_S)
@@ -540,7 +540,7 @@
         await stage.result()
         await asyncio.sleep(0.5)
         self.assertEqual((len(server.calls), len(stage.endpoint.finished)), (1, 1))
-        self.assertEqual(stage.runner.directory.address_of("j1"), ARCHIVIST)
+        self.assertEqual(stage.runner.directory.address_of("j1"), JOB_STORE_NODE)
 
 
 if __name__ == "__main__":
--- a/tests/test_scaletest.py
+++ b/tests/test_scaletest.py
@@ -117,7 +117,7 @@
     def setUp(self) -> None:
         self.told: list[dict[str, Any]] = []
         self.store = ReplicatedStore()
-        self.sight = hollow.Sight("front-1", self.store, 2, 1, self.told.append)
+        self.view = hollow.FollowerView("front-1", self.store, 2, 1, self.told.append)
 
     def put(self, key: str, rev: int, value: dict[str, Any]) -> None:
         self.store.apply([Item(key, rev, json.dumps(value).encode())])
