--- a/tests/test_proxy_runner.py
+++ b/tests/test_proxy_runner.py
@@ -10,9 +10,11 @@
 
 from otterreach.jobstore.messages import CancelJob, Finished, GiveBack, ProxyPing, Running
 from otterreach.jobstore.placement import RUNNER_ROOM
+from otterreach.proxy.item_placement import ROUTE_GONE_S
 from otterreach.proxy.item_queue import ITEMS_PER_CORE
 from otterreach.proxy.item_run import Phase
 from otterreach.proxy.runner import Runner
+from otterreach.proxy.send_permission import MOST_ENDED, SendPermission
 from otterreach.runtime.codes import Code, Failure
 from tests import virtual
 from tests.proxy_support import (
@@ -302,6 +304,28 @@
         self.assertEqual((done.state, done.reason), ("errored", "waited"))
         self.assertGreater(stage.loop.time() - began, 3.0)
 
+    @staged()
+    async def test_given_up_only_once_its_route_has_long_been_gone(self, stage: Stage) -> None:
+        server = stage.server("i-1", writes(2))
+        scorer_route = route("score", "/a/", backend="svc", tries=2)
+        stage.world.configure([scorer_route])
+        stage.runner.assign(assign([work("i1")]))
+        await asyncio.sleep(ROUTE_GONE_S - 0.2)
+        self.assertEqual(stage.endpoint.finished, [])
+        done = await stage.result()
+        self.assertEqual((done.state, done.reason, server.calls), ("errored", "route_gone", []))
+
+    @staged()
+    async def test_a_route_that_comes_back_in_time(self, stage: Stage) -> None:
+        stage.server("i-1", writes(2))
+        scorer_route = route("score", "/a/", backend="svc", tries=2)
+        item_route = route("l", "/l/", "rollout", backend="lm", maxWaitS=40, dueMs=5000)
+        stage.world.configure([scorer_route])
+        stage.runner.assign(assign([work("i1")]))
+        await asyncio.sleep(ROUTE_GONE_S - 0.5)
+        stage.world.configure([item_route, scorer_route])
+        self.assertEqual((await stage.result()).state, "done")
+
     @staged()
     async def test_told_until_it_is_taken(self, stage: Stage) -> None:
         stage.endpoint.answers[Finished] = [
@@ -468,6 +492,17 @@
         self.assertEqual(stage.runner.runs, {})
 
 
+class Permission(unittest.TestCase):
+    @staged()
+    async def test_ended_batch_jobs_are_remembered_up_to_a_bound(self, stage: Stage) -> None:
+        permission = SendPermission(stage.runner.directory)
+        for number in range(MOST_ENDED + 1):
+            permission.end_job(f"j{number}")
+        self.assertFalse(permission.has_ended("j0"))
+        self.assertTrue(permission.has_ended("j1"))
+        self.assertTrue(permission.has_ended(f"j{MOST_ENDED}"))
+
+
 class Slots(unittest.TestCase):
     @staged()
     async def test_a_share_of_all_slots_and_no_more(self, stage: Stage) -> None:
