--- a/tests/test_jobstore_copies.py
+++ b/tests/test_jobstore_copies.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from otterreach.controller.spread import Spread
+from otterreach.controller.survival import SurviveLimits
 from otterreach.jobstore.messages import Entry, JobAppend, PartEpochs, PartPing, Results
 from otterreach.jobstore.partition import Copy, CopyState
 from otterreach.jobstore.replication import FRESH_S
@@ -321,7 +321,7 @@
         zones = {"store-0": "a", "store-1": "a", "store-2": "b", "store-3": "b"}
         for lost in ("a", "b"):
             with self.subTest(lost):
-                run(lambda lost=lost: self._lose_zone(World(4, 1, Spread.surviving(1, 1, 0), zones), lost))  # type: ignore[misc]
+                run(lambda lost=lost: self._lose_zone(World(4, 1, SurviveLimits(1, 1), zones), lost))  # type: ignore[misc]
 
     async def _lose_zone(self, world: World, lost: str) -> None:
         client = Client(world)
@@ -354,8 +354,8 @@
         for _ in range(200):
             await asyncio.sleep(0.1)
             world.plan()
-            places = world.known().places
-            if all(world.wanted.holds(r.members, places) and not r.learners for r in world.parts().values()):
+            known = world.known()
+            if all(known.outlast(r.members, world.limits) and not r.learners for r in world.parts().values()):
                 return
         self.fail("never spread again")
 
