--- a/tests/test_control_api_resources.py
+++ b/tests/test_control_api_resources.py
@@ -12,7 +12,7 @@
 from otterreach.controller.api.versions import VersionResource
 from otterreach.controller.messages import Operate
 from otterreach.controller.planner import Stores
-from otterreach.controller.spread import Place, Spread
+from otterreach.controller.survival import Place, SurviveLimits
 from tests.control_api_support import Case, StagedControl, farewell, heartbeat, settle, statuses
 
 
@@ -61,7 +61,7 @@
             retiring = {f"{node}#{order['disk']}" for node, order in orders.items()}
             return Stores({name: Place("z", "r") for name in living}, frozenset(retiring & living))
 
-        wanted = Spread.surviving(1, 0, 0)
+        wanted = SurviveLimits(1)
         return control, RetirementResource(control, control.published, living_stores, wanted), living
 
     def member(self, control: StagedControl, node: str, disk: str) -> None:
