--- a/tests/test_control_primary.py
+++ b/tests/test_control_primary.py
@@ -13,23 +13,20 @@
 from otterreach.controller.replica_state import Mode, ReplicaState
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.rpc import Done
+from otterreach.runtime.store import ReplicatedStore
 from otterreach.simulation.disk import Disk, VirtualJournal
 from tests import virtual
 from tests.test_controller import SETTINGS
 
 
 class Follower:
-    """Takes no part: nothing is published to anyone."""
+    """Has a copy of the control state; nothing is published to anyone."""
 
     def __init__(self) -> None:
-        self.store, self.relay, self.primary, self.root_at = self, self, "", 0.0
-        self.published: list[Any] = []
-
-    def apply(self, items: Any) -> list[Any]:
-        return list(items)
+        self.store, self.relay, self.primary, self.root_at = ReplicatedStore(), self, "", 0.0
 
     def publish(self, items: list[Any]) -> None:
-        self.published += items
+        """To nobody."""
 
 
 class Endpoint:
