--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -46,7 +46,7 @@
         settings: Settings,
         control: Control,
         follower: Follower,
-        stores: Callable[[], Stores | None],
+        living_stores: Callable[[], Stores | None],
         server_heard: Callable[[str], None],
     ) -> None:
         self.control, self.follower, self.server_heard = control, follower, server_heard
@@ -55,7 +55,7 @@
             "config": ConfigurationResource(control, published),
             "servers": ServerResource(control),
             "version-put": VersionResource(control),
-            "retire": RetirementResource(control, published, stores, limits_of(settings)),
+            "retire": RetirementResource(control, published, living_stores, limits_of(settings)),
         }
         control.endpoint.on(Operate, self._forwarded)
 
