--- a/otterreach/jobstore/node.py
+++ b/otterreach/jobstore/node.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import Iterable, Iterator
 from random import Random
-from typing import Any
 
 from otterreach.jobstore.dispatch import Dispatch, Terms
 from otterreach.jobstore.jobs import (
@@ -41,6 +40,8 @@
 from otterreach.jobstore.partition import Copy, Mark, part_in
 from otterreach.jobstore.placement import PARTITIONS, part_of
 from otterreach.jobstore.replication import JournalLike, Replication
+from otterreach.jobstore.results import why_refused
+from otterreach.jobstore.routes import JobRoutes
 from otterreach.runtime import identity
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.compaction import Compaction, Limits
@@ -60,8 +61,6 @@
 MEMORY_SHARE = 0.35  # of the memory, for what batch jobs hold
 KEEP_MARGIN_S = 3.0  # results are kept a little longer than promised
 WAIT_MARGIN_S = 1.0
-DEFAULT_TERMS = Terms(60.0, 1e9)
-ERRORS = ("unprocessable", "failed", "reward_failed", "waited", "route_gone")
 
 
 def restore(node: Node, replication: Replication, records: Iterable[Record]) -> None:
@@ -91,8 +90,7 @@
         self.compaction = Compaction(journal, self.live, self._live_bytes, REWRITE)
         self.stopping = False
         self._failed_at: float | None = None
-        self._routes: tuple[int, dict[str, Any]] = (-1, {})
-        self._slots: tuple[int, int] = (-1, 0)  # by the store's rev
+        self.routes = JobRoutes(node)
         self._readers: dict[str, list[asyncio.Future[None]]] = {}
         restore(node, self.replication, records)
         for kind, handler in (
@@ -164,41 +162,10 @@
         return self.replication.copies[part].epoch
 
     def terms(self, job: Job) -> Terms:
-        route = self._route(job)
-        if route is None:
-            return DEFAULT_TERMS
-        due, wait = route.get("dueMs"), route.get("maxWaitS")
-        return Terms(due / 1000 if due else DEFAULT_TERMS.due_s, wait or DEFAULT_TERMS.max_wait_s)
+        return self.routes.terms(job)
 
     def item_slots(self) -> int:
-        """The slots of all servers of the services that batch jobs go to."""
-        store = self.node.store
-        if self._slots[0] != store.rev:
-            routes = (store.get("config") or {}).get("routes") or []
-            services = {
-                name
-                for r in routes
-                if r.get("kind") == "rollout"
-                for name in (r.get("backend"), *(s.get("backend") for s in r.get("split") or ()))
-            }
-            servers = [s for s in store.named("server").values() if s["backend"] in services and s["state"] == "up"]
-            self._slots = (store.rev, sum(s["cap"] for s in servers))
-        return self._slots[1]
-
-    def _route(self, job: Job) -> Any:
-        """The route of a batch job in the newest configuration here; None if it isn't in it."""
-        item = self.node.store.items.get("config")
-        if item is None:
-            return None
-        if item.rev != self._routes[0]:
-            config = self.node.store.get("config") or {}
-            self._routes = (item.rev, {str(r.get("name")): r for r in config.get("routes") or []})
-        return self._routes[1].get(job.route)
-
-    def _route_gone(self, job: Job) -> bool:
-        """Surely: the configuration here is from after the batch job came, by a route of that name."""
-        known = self.node.store.items.get("config") is not None
-        return known and self._route(job) is None and self.node.follower.root_at > job.at + 1.0
+        return self.routes.item_slots()
 
     # Batch jobs ----------------------------------------------------------------------------------
 
@@ -329,34 +296,13 @@
 
     def _judge(self, job: Job, item: JobItem, ask: Finished) -> Failure | None:
         """Why this can't be a result, or None. BAD_MESSAGE is final: the item will run again."""
-        why = self._wrong_done(job, item, ask) if ask.state == "done" else self._wrong_error(job, ask)
+        why = why_refused(self.routes, job, item, ask, self.loop.time())
         if why:
             log("result_refused", job=job.id, item=item.id, state=ask.state, reason=ask.reason, why=why)
             self.dispatch.unusable(job, item)
             return Failure(Code.BAD_MESSAGE, why)
         return None
 
-    def _wrong_done(self, job: Job, item: JobItem, ask: Finished) -> str:
-        if item.scorer_id and not ask.score:
-            return "no score"
-        if job.sampled and not ask.versions:
-            return "no versions"
-        if job.min_version and any(v < job.min_version for v in ask.versions):
-            return f"versions {ask.versions} below {job.min_version}"
-        route = self._route(job)
-        if route and route.get("single") and len(set(ask.versions)) > 1:
-            return f"versions {ask.versions} on a route with one"
-        return ""
-
-    def _wrong_error(self, job: Job, ask: Finished) -> str:
-        if ask.state != "errored" or ask.reason not in ERRORS:
-            return f"state {ask.state} {ask.reason}"
-        if ask.reason == "waited" and self.loop.time() - job.at < self.terms(job).max_wait_s:
-            return "not yet maxWaitS"
-        if ask.reason == "route_gone" and not self._route_gone(job):
-            return "the route is there"
-        return ""
-
     async def _list(self, leader: PartitionLeader, job: Job, item: JobItem, ask: Finished) -> Done | Failure:
         index = leader.append(result_record(job.id, item.id, encode_result(job, ask)))
         self.dispatch.listed(job, item)
@@ -429,8 +375,8 @@
                     self._give_up(leader, job, now)
 
     def _give_up(self, leader: PartitionLeader, job: Job, now: float) -> None:
-        waited = now - job.at > self.terms(job).max_wait_s + WAIT_MARGIN_S
-        if not waited and not self._route_gone(job):
+        waited = now - job.at > self.routes.terms(job).max_wait_s + WAIT_MARGIN_S
+        if not waited and not self.routes.is_gone(job):
             return
         for item in job.items.values():
             if item.state is ItemState.PENDING:
