A job store node that starts on a full disk waits for room, and is announced only then

Cause: it was started again and again on a full disk, each start an exit of its own once the first write failed.

--- a/otterreach/jobstore/__main__.py
+++ b/otterreach/jobstore/__main__.py
@@ -9,6 +9,7 @@
 import sys
 from random import Random, SystemRandom
 
+from otterreach.jobstore.disk_room import wait_for_room
 from otterreach.jobstore.leaving import give_on
 from otterreach.jobstore.node import JobStoreNode
 from otterreach.runtime.codes import Code
@@ -34,6 +35,7 @@
     """Until SIGTERM. Ends with the code of DISK_FAILED if the disk refuses a write."""
     assert settings.datadir is not None
     random = Random(SystemRandom().getrandbits(64))
+    await wait_for_room(settings.datadir)
     journal, records = open_journal(settings.datadir / JOURNAL)
     endpoint = Endpoint()
     node = Node(settings, endpoint, random)
--- /dev/null
+++ b/tests/test_disk_room.py
@@ -0,0 +1,54 @@
+"""A start on a full disk (otterreach/jobstore/disk_room.py)."""
+
+from __future__ import annotations
+
+import errno
+import os
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from otterreach.jobstore.disk_room import AGAIN_S, LONGEST_S, takes_writes, wait_for_room
+from tests.virtual import VirtualLoop
+
+
+class DiskRoomTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data"
+
+    def waits(self, answers: list[bool]) -> float:
+        """How long a start waits if the disk answers so."""
+        loop = VirtualLoop()
+        self.addCleanup(loop.close)
+
+        async def scene() -> float:
+            began = loop.time()
+            await wait_for_room(self.folder)
+            return loop.time() - began
+
+        async def at_once(executor: None, step: object, *args: object) -> bool:
+            return answers.pop(0) if answers else False
+
+        with mock.patch.object(loop, "run_in_executor", at_once):
+            return loop.run_until_complete(scene())
+
+    def test_a_disk_that_takes_writes_is_left_as_it_was(self) -> None:
+        self.assertTrue(takes_writes(self.folder))
+        self.assertEqual([], list(self.folder.iterdir()))
+
+    def test_a_full_disk(self) -> None:
+        with mock.patch.object(os, "write", side_effect=OSError(errno.ENOSPC, "no space left on device")):
+            self.assertFalse(takes_writes(self.folder))
+        self.assertEqual([], list(self.folder.iterdir()))
+
+    def test_the_start_waits_for_room_but_not_for_ever(self) -> None:
+        self.assertEqual(0.0, self.waits([True]))
+        self.assertAlmostEqual(2 * AGAIN_S, self.waits([False, False, True]))
+        self.assertLess(self.waits([]), LONGEST_S + 2 * AGAIN_S)
+
+
+if __name__ == "__main__":
+    unittest.main()
