--- a/otterreach/controller/replica_state.py
+++ b/otterreach/controller/replica_state.py
@@ -27,6 +27,7 @@
 STAGING_IDLE_S = 10.0  # a transfer that stopped for so long no longer holds up a rewrite of the journal
 SLICE_BYTES = 32 * 1024  # of the state, encoded in one turn of the loop
 PRIMARY_ADDRESS_VALID_S = 2.0  # how long the primary's address is taken for true after it was last heard
+PRIMARY_SILENT_S = 0.5  # silent for longer: no call is passed on to it
 
 
 class Mode(Enum):
@@ -193,9 +194,17 @@
     @property
     def primary_address(self) -> str:
         """Where the primary is, as far as is known here."""
+        return self._primary_heard_within(PRIMARY_ADDRESS_VALID_S)
+
+    @property
+    def heard_primary_address(self) -> str:
+        """Where the primary is that was heard a moment ago; empty if none was."""
+        return self._primary_heard_within(PRIMARY_SILENT_S)
+
+    def _primary_heard_within(self, seconds: float) -> str:
         if self.is_primary:
             return self.settings.address
-        if self.accepted and self.loop.time() - self.primary_heard_at < PRIMARY_ADDRESS_VALID_S:
+        if self.accepted and self.loop.time() - self.primary_heard_at < seconds:
             found = self.accepted.witness(self.accepted.primary)
             return found.address if found else ""
         return ""
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -10,12 +10,13 @@
 from typing import Any
 from unittest import mock
 
+from otterreach.controller.replication import Control
 from otterreach.controller.snapshot import SnapshotReceiver
 from otterreach.jobstore.leadership import PartitionLeader
 from otterreach.runtime import rpc
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.rpc import Done, Endpoint, Link
-from otterreach.simulation import control, faults, jobs
+from otterreach.simulation import control, faults, jobs, registration
 from otterreach.simulation.disk import Disk, VirtualJournal
 from otterreach.simulation.loop import Process, Stalled, VirtualLoop
 from otterreach.simulation.net import Network
@@ -231,6 +232,33 @@
 
         Pair().play(work)
 
+    def test_thawed_process_takes_connections_in_any_order(self) -> None:
+        """In order on each connection, but not among them."""
+        orders = set()
+        for seed in range(12):
+            pair, got = Pair(seed), list[int]()
+
+            async def work(pair: Pair = pair, got: list[int] = got) -> None:
+                async def take(link: Link, ask: rpc.Refused) -> None:
+                    got.append(ask.code)
+
+                pair.server.on(rpc.Refused, take)
+                links = [await Endpoint().link("10.0.0.2:5") for _ in range(2)]
+                pair.net.freeze(pair.far, late=False)
+                for number in range(4):
+                    link = links[number % 2]
+                    assert isinstance(link, Link)
+                    link.send(rpc.Refused(number, ""))
+                    await asyncio.sleep(0.1)
+                pair.net.thaw(pair.far)
+                await asyncio.sleep(0.5)
+
+            pair.play(lambda _, work=work: work())  # type: ignore[misc]
+            self.assertLess(got.index(0), got.index(2))
+            self.assertLess(got.index(1), got.index(3))
+            orders.add(tuple(got))
+        self.assertGreater(len(orders), 2)
+
 
 class DiskTest(unittest.TestCase):
     def test_what_was_synced_lasts(self) -> None:
@@ -304,7 +332,7 @@
                 self.assertIsNone(world.failure, f"{run.__module__} {seed}: {world.failure}")
 
     def test_orders_reach_no_other_server_where_addresses_are_used_anew_at_once(self) -> None:
-        with mock.patch.object(control, "REUSE_S", 0.0):
+        with mock.patch.object(registration, "REUSE_S", 0.0):
             world, _ = control.run(317)
         self.assertIsNone(world.failure, str(world.failure))
 
@@ -327,6 +355,17 @@
         with mock.patch.object(SnapshotReceiver, "commit", commit):
             self.assertNotEqual("", self.found(control.run, 8))
 
+    def test_read_without_asking_the_backups(self) -> None:
+        """A primary that was frozen answers with its old configuration: only reads as a history show it."""
+
+        async def confirm(self: Control) -> bool:
+            return self.is_primary
+
+        freeze = faults.Fault(3.0, "freeze", (faults.LEADER,), 4.0)
+        plan = faults.Plan((freeze,), ((7.0, 16.0),), 16.0)
+        with mock.patch.object(Control, "confirm", confirm):
+            self.assertEqual("linearizable", self.found(lambda seed: control.run(seed, plan), 12))
+
     def test_acknowledged_without_the_backups(self) -> None:
         with mock.patch.object(PartitionLeader, "required", property(lambda leader: [])):
             self.assertNotEqual("", self.found(jobs.run, 8))
