--- a/tests/test_control_api_router.py
+++ b/tests/test_control_api_router.py
@@ -69,6 +69,11 @@
             self.assertLess(loop.time() - began, 1.0)
             control.endpoint.answer_after_s = 0.3
             self.assertEqual(200, await self.status(api, put(0, 1)))
+            loop.call_later(0.1, setattr, control, "primary_address", "")
+            began = loop.time()
+            self.assertEqual(503, await self.status(api, put(0, 1)))
+            self.assertLess(loop.time() - began, 0.2, "the primary is not heard any more: nobody waits for it")
+            control.primary_address = "10.0.0.1:7000"
             refused = await control.endpoint.handlers[Operate](None, put(0, 1))
             self.assertEqual(Code.NOT_PRIMARY, refused.code)
 
