--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -13,7 +13,6 @@
 from otterreach.controller.planner import Part, Stores
 from otterreach.controller.replication import Control
 from otterreach.controller.survival import Place, limits_of
-from otterreach.controller.tombstones import TombstoneClock
 from otterreach.jobstore.messages import DiskStalled, Leaving, PartLost, PartSynced
 from otterreach.jobstore.placement import PARTITIONS
 from otterreach.proxy.messages import Loaded, Release
@@ -50,7 +49,6 @@
         self.control = Control(settings, node.endpoint, journal, node.follower, node.random, self._office)
         self.api = ApiRouter(settings, self.control, node.follower, self._stores_when_settled, self._server_heard)
         self.server = JsonServer(self.api.handle)
-        self.tombstone_clock = TombstoneClock(lambda: self.control.state)
         self._settled_at = 0.0
         self._lost: dict[tuple[int, str], float] = {}  # (partition, backup): when its primary last said so
         self._stalled: dict[str, float] = {}  # by node#disk: when it last said that its disk takes nothing
@@ -194,7 +192,6 @@
         if primary:
             self._settled_at = self.loop.time() + SETTLE_S
             now = self.loop.time()
-            self.tombstone_clock.begin_period(now)
             for node, known in self.control.state.named("member").items():
                 self.heard[member(node, known["disk"])] = now
             for ident in self.control.state.named("server"):
@@ -216,12 +213,6 @@
                     self._plan_servers()
                     self._plan_duties()
                     self._plan_members()
-                    self._collect_tombstones(now)
-
-    def _collect_tombstones(self, now: float) -> None:
-        changes = self.tombstone_clock.due_change(now)
-        if changes:
-            self.control.revise(changes)
 
     def _tell_core(self) -> None:
         record = self.control.accepted
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -17,6 +17,7 @@
 from otterreach.controller.primary import Primary
 from otterreach.controller.replica_state import Mode, ReplicaState
 from otterreach.controller.snapshot import SnapshotReceiver
+from otterreach.controller.tombstones import TombstoneClock
 from otterreach.runtime.compaction import Compaction, Limits
 from otterreach.runtime.journal import Journal
 from otterreach.runtime.journal import Record as JournalRecord
@@ -50,6 +51,7 @@
         self.primary = Primary(self.replica, endpoint, follower, self.election)
         self.membership = Membership(self.replica, endpoint, follower, self.election, self.primary)
         self.replica.on_mode_change.append(self._tell_changed)
+        self.tombstone_clock = TombstoneClock(lambda: self.replica.store)
         self.compaction = Compaction(journal, self.replica.live_records, self.replica.live_bytes, REWRITE)
 
     # What others see of it -----------------------------------------------------------------------
@@ -118,6 +120,8 @@
         self.follower.is_root = new is Mode.PRIMARY
 
     def _tell_changed(self, old: Mode, new: Mode) -> None:
+        if new is Mode.PRIMARY:
+            self.tombstone_clock.begin_period(self.replica.loop.time())
         if old is Mode.PRIMARY or new is Mode.PRIMARY:
             self.changed(new is Mode.PRIMARY)
 
@@ -126,6 +130,11 @@
         if await self.replica.sync():
             await asyncio.gather(self._watch(), self.primary.send_heartbeats())
 
+    def _collect_tombstones(self, now: float) -> None:
+        changes = self.tombstone_clock.due_change(now)
+        if changes:
+            self.revise(changes)
+
     async def _watch(self) -> None:
         loop = self.replica.loop
         self.membership.asked_to_join_at = loop.time()
@@ -136,6 +145,7 @@
                 await self.election.bootstrap()
             if self.is_primary and not self.election.in_progress:
                 await self.membership.reconcile_members()
+                self._collect_tombstones(now)
             elif self.election.is_due():
                 await self.election.stand()
             self.membership.ask_to_join_when_due(now)
