--- a/otterreach/controller/election.py
+++ b/otterreach/controller/election.py
@@ -189,6 +189,7 @@
                 replica.step_down("no majority would promise")
             return None
         if replica.promised >= number:
+            # Nobody promises one number twice, not to itself either: it was promised to another during the probe.
             replica.step_down("promised to another")
             return None
         replica.promise(number)
--- a/tests/proxy_support.py
+++ b/tests/proxy_support.py
@@ -1,4 +1,4 @@
-"""A proxy's surroundings in memory: servers that do as they are told, clients, store_nodes."""
+"""A proxy's surroundings in memory: servers that do as they are told, clients, job store nodes."""
 
 from __future__ import annotations
 
@@ -100,7 +100,7 @@
             raise ConnectionRefusedError
         if server.dark:
             await asyncio.sleep(3600)
-        here, there = factory(), _ServerEnd(server)
+        here, there = factory(), ServerEnd(server)
         connect(here, there)
         server.opened += 1
         return here
@@ -112,7 +112,7 @@
 class Call:
     """One request at a server, and the means to answer it."""
 
-    def __init__(self, server: FakeServer, end: _ServerEnd, request: http1.Request) -> None:
+    def __init__(self, server: FakeServer, end: ServerEnd, request: http1.Request) -> None:
         self.server, self.end, self.request = server, end, request
         self.id = request.headers.get(b"request-id", b"").decode()
 
@@ -162,10 +162,12 @@
         self.dropped: list[str] = []  # whose connection closed before their answer
         self.refuses = self.dark = False
         self.opened = 0
-        self.ends: list[_ServerEnd] = []
+        self.ends: list[ServerEnd] = []
 
 
-class _ServerEnd(asyncio.Protocol):
+class ServerEnd(asyncio.Protocol):
+    """A server's end of one connection: whole requests in, each to the script."""
+
     def __init__(self, server: FakeServer) -> None:
         self.server = server
         self.transport: MemoryTransport | None = None
@@ -283,7 +285,7 @@
     return settings_module.read({"node": "front-0", "machine": "front", "ip": "10.9.0.0", "portRange": [7000, 7010]})
 
 
-ARCHIVIST = "10.8.0.1:7000"
+JOB_STORE_NODE = "10.8.0.1:7000"
 
 
 class FakeLink:
@@ -295,7 +297,7 @@
 
 
 class FakeEndpoint:
-    """The calls of a proxy; one store_node that holds all partitions, unless told otherwise."""
+    """The calls of a proxy; one job store node that holds all partitions, unless told otherwise."""
 
     def __init__(self) -> None:
         self.handlers: dict[type, Any] = {}
@@ -339,9 +341,9 @@
         return Done()
 
 
-def archive(world: World) -> None:
-    """The control state's view of the one store_node."""
-    world.put("member/store-0", {"role": "store", "address": ARCHIVIST})
+def list_job_store_node(world: World) -> None:
+    """The control state's view of the one job store node."""
+    world.put("member/store-0", {"role": "store", "address": JOB_STORE_NODE})
     for part in range(16):
         world.put(f"part/{part}", {"epoch": 1, "primary": "store-0#d", "backups": [], "joining": []})
 
--- a/tests/test_proxy_runner.py
+++ b/tests/test_proxy_runner.py
@@ -10,23 +10,25 @@
 
 from otterreach.jobstore.messages import CancelJob, Finished, GiveBack, ProxyPing, Running
 from otterreach.jobstore.placement import RUNNER_ROOM
+from otterreach.proxy.item_placement import ROUTE_GONE_S
 from otterreach.proxy.item_queue import ITEMS_PER_CORE
 from otterreach.proxy.item_run import Phase
 from otterreach.proxy.runner import Runner
+from otterreach.proxy.send_permission import MOST_ENDED, SendPermission
 from otterreach.runtime.codes import Code, Failure
 from tests import virtual
 from tests.proxy_support import (
-    ARCHIVIST,
+    JOB_STORE_NODE,
     Call,
     FakeEndpoint,
     FakeServer,
     Script,
     World,
     after,
-    archive,
     assign,
     cut,
     fail,
+    list_job_store_node,
     route,
     serve,
     settings,
@@ -39,12 +41,12 @@
 
 
 class Stage:
-    """A runner with its servers and its store_node."""
+    """A runner with its servers and its job store node."""
 
     def __init__(self, **item_route: Any) -> None:
         items = route("l", "/l/", "rollout", backend="lm", maxWaitS=40, dueMs=5000) | item_route
         self.world = World([items, route("score", "/a/", backend="svc", tries=2)])
-        archive(self.world)
+        list_job_store_node(self.world)
         self.world.fronts(1)
         self.endpoint = FakeEndpoint()
         self.runner = Runner(self.world.fleet, self.endpoint, settings())
@@ -302,6 +304,28 @@
         self.assertEqual((done.state, done.reason), ("errored", "waited"))
         self.assertGreater(stage.loop.time() - began, 3.0)
 
+    @staged()
+    async def test_given_up_only_once_its_route_has_long_been_gone(self, stage: Stage) -> None:
+        server = stage.server("i-1", writes(2))
+        scorer_route = route("score", "/a/", backend="svc", tries=2)
+        stage.world.configure([scorer_route])
+        stage.runner.assign(assign([work("i1")]))
+        await asyncio.sleep(ROUTE_GONE_S - 0.2)
+        self.assertEqual(stage.endpoint.finished, [])
+        done = await stage.result()
+        self.assertEqual((done.state, done.reason, server.calls), ("errored", "route_gone", []))
+
+    @staged()
+    async def test_a_route_that_comes_back_in_time(self, stage: Stage) -> None:
+        stage.server("i-1", writes(2))
+        scorer_route = route("score", "/a/", backend="svc", tries=2)
+        item_route = route("l", "/l/", "rollout", backend="lm", maxWaitS=40, dueMs=5000)
+        stage.world.configure([scorer_route])
+        stage.runner.assign(assign([work("i1")]))
+        await asyncio.sleep(ROUTE_GONE_S - 0.5)
+        stage.world.configure([item_route, scorer_route])
+        self.assertEqual((await stage.result()).state, "done")
+
     @staged()
     async def test_told_until_it_is_taken(self, stage: Stage) -> None:
         stage.endpoint.answers[Finished] = [
@@ -363,7 +387,7 @@
 
 class Leases(unittest.TestCase):
     @staged()
-    async def test_nothing_goes_out_without_word_from_the_archivist(self, stage: Stage) -> None:
+    async def test_nothing_goes_out_without_word_from_the_job_store(self, stage: Stage) -> None:
         server = stage.server("i-1", writes(2))
         stage.endpoint.reachable = False
         await asyncio.sleep(CANCEL_S)
@@ -468,6 +492,17 @@
         self.assertEqual(stage.runner.runs, {})
 
 
+class Permission(unittest.TestCase):
+    @staged()
+    async def test_ended_batch_jobs_are_remembered_up_to_a_bound(self, stage: Stage) -> None:
+        permission = SendPermission(stage.runner.directory)
+        for number in range(MOST_ENDED + 1):
+            permission.end_job(f"j{number}")
+        self.assertFalse(permission.has_ended("j0"))
+        self.assertTrue(permission.has_ended("j1"))
+        self.assertTrue(permission.has_ended(f"j{MOST_ENDED}"))
+
+
 class Slots(unittest.TestCase):
     @staged()
     async def test_a_share_of_all_slots_and_no_more(self, stage: Stage) -> None:
@@ -540,7 +575,7 @@
         await stage.result()
         await asyncio.sleep(0.5)
         self.assertEqual((len(server.calls), len(stage.endpoint.finished)), (1, 1))
-        self.assertEqual(stage.runner.directory.address_of("j1"), ARCHIVIST)
+        self.assertEqual(stage.runner.directory.address_of("j1"), JOB_STORE_NODE)
 
 
 if __name__ == "__main__":
