--- a/otterreach/simulation/small_model.py
+++ b/otterreach/simulation/small_model.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from otterreach.controller.election import MembershipChange
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
 from otterreach.controller.messages import Accept, AppendItems
 from otterreach.controller.replica_state import CONFIGURATION, IDENTITY, ITEMS, Mode
@@ -222,15 +223,16 @@
             )
 
     def _do_elect(self, member: Member) -> None:
-        member.run(lambda: spawn(member.control.election.run(set(), [])))
+        member.run(lambda: spawn(member.control.election.run()))
 
     def _do_reform(self, member: Member, joiner: str) -> None:
         """What the primary does with a member that asks in: the former disk at its address makes room."""
         new = next(m for m in self.members if m.name == joiner).control.replica.info
         record = member.control.accepted
         assert record is not None
-        drop = {w.id for w in record.witnesses if w.address == new.address}
-        member.run(lambda: spawn(member.control.election.run(drop, [new])))
+        drop = frozenset(w.id for w in record.witnesses if w.address == new.address)
+        change = MembershipChange(drop, (new,))
+        member.run(lambda: spawn(member.control.election.run(change)))
 
     def _do_cut(self, member: Member, way: str) -> None:
         self.cut[member.name] = way
--- a/otterreach/simulation/world.py
+++ b/otterreach/simulation/world.py
@@ -92,15 +92,16 @@
         if self.up or not self.world.net.machine(self.ip).powered:
             return
         self.lives += 1
+        self.world.changed = True
         process = self.process = Process(self.name, self.ip)
         self.world.processes.append(process)
         task = process.start(self.world.loop, self._run())
-        task.add_done_callback(lambda done: self._over(done, process))
+        task.add_done_callback(lambda done: self._over(process, done))
 
     async def _run(self) -> None:
         await self.main(self)
 
-    def _over(self, task: asyncio.Task[None], process: Process) -> None:
+    def _over(self, process: Process, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and (error := task.exception()):
             self.world.broken(Broken("ended by itself", f"{self.name}: {error!r}"))
         self.world.plainly(RESTART_S, self._again, process)
@@ -117,6 +118,7 @@
             self.process.kill()
             self.world.net.process_ended(self.process)
             self.first = False
+            self.world.changed = True
             self.node = self.object = None
 
     def terminate(self) -> None:
@@ -137,10 +139,12 @@
 
     def freeze(self, late: bool = False) -> None:
         if self.process and not self.process.dead:
+            self.world.changed = True
             self.world.net.freeze(self.process, late)
 
     def thaw(self) -> None:
         if self.process and self.process.frozen:
+            self.world.changed = True
             self.world.net.thaw(self.process)
 
 
