--- a/otterreach/simulation/planted_plans.py
+++ b/otterreach/simulation/planted_plans.py
@@ -26,3 +26,6 @@
     for fault in (Fault(5.0 + 9 * n, "one_way", (name,), 2.0), Fault(5.4 + 9 * n, "wipe", (name,), 2.0))
 )
 RESETS: Faults = tuple(Fault(4.0 + n, "reset", (*CORES, *STORES), 0.1) for n in range(12))
+PROXIES_CUT_OFF: Faults = tuple(Fault(5.0 + 8 * n, "cut", (FRONTS[n % 2],), 7.0) for n in range(3))
+CORES_KILLED: Faults = tuple(Fault(4.0 + 1.5 * n, "kill", (CORES[n % 5],), 0.6) for n in range(14))
+SLOW_LINKS: Faults = tuple(Fault(4.0 + 4 * n, "slow_link", CORES, 2.5) for n in range(6))
--- a/otterreach/simulation/planted_table.py
+++ b/otterreach/simulation/planted_table.py
@@ -118,6 +118,60 @@
         (Change(f"{ACCEPTOR}.install_snapshot", "Done() if await replica.sync() else", "Done() if True else"),),
         "write-elect",
     ),
+    Planted(
+        "acknowledged-after-the-epoch",
+        "a primary acknowledges a change after it has stepped down",
+        (
+            Change(
+                f"{PRIMARY}._append_to_backups",
+                " or replica.accepted is not configuration or not replica.is_primary",
+                "",
+            ),
+        ),
+        "write-elect",
+    ),
+    Planted(
+        "former-majority-not-asked",
+        "a configuration comes into force without a majority of the former witnesses",
+        (Change(f"{ELECTION}._accept_configuration", "is_majority(good, base) and ", ""),),
+        "wipe-reform",
+    ),
+    Planted(
+        "snapshot-for-another-disk",
+        "a machine with another disk takes the state that was meant for the former one",
+        (Change(f"{ACCEPTOR}.install_snapshot", "ask.target != replica.id or ", ""),),
+        "wipe-reform",
+    ),
+    Planted(
+        "new-backup-not-in-its-epoch",
+        "a configuration comes into force before its backups have accepted it",
+        (Change(f"{ELECTION}._accept_configuration", "needed <= good and ", ""),),
+        "write-elect",
+    ),
+    Planted(
+        "backup-of-another-epoch-appends",
+        "a member takes changes of an epoch of which it is no backup",
+        (
+            Change(
+                f"{ACCEPTOR}.append_items",
+                "configuration is None or configuration.number != ask.number or replica.id not in configuration.backups",
+                "configuration is None",
+            ),
+        ),
+        "two-elections",
+    ),
+    Planted(
+        "own-promise-not-synced",
+        "a candidate asks others before its own promise is on disk",
+        (Change(f"{ELECTION}._collect_promises", "not await replica.sync() or ", ""),),
+        "write-crash",
+    ),
+    Planted(
+        "configuration-not-synced",
+        "a candidate proposes a configuration that is not on its own disk",
+        (Change(f"{ELECTION}._run", "if not await replica.sync():", "if False:"),),
+        "write-crash",
+    ),
 )
 
 TABLE: tuple[Planted, ...] = (*CONTROLLERS, *OPERATIONS, *JOBS)
