--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -19,7 +19,7 @@
 from otterreach.controller.messages import Operate, Operated
 from otterreach.controller.planner import Stores
 from otterreach.controller.replication import Control
-from otterreach.controller.spread import Spread
+from otterreach.controller.survival import limits_of
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.http import Reply
 from otterreach.runtime.relay import Follower
@@ -46,17 +46,16 @@
         settings: Settings,
         control: Control,
         follower: Follower,
-        living_stores: Callable[[], Stores | None],
+        stores: Callable[[], Stores | None],
         server_heard: Callable[[str], None],
     ) -> None:
         self.control, self.follower, self.server_heard = control, follower, server_heard
         published = follower.store
-        wanted = Spread.surviving(settings.survive_nodes, settings.survive_zones, settings.survive_regions)
         self.resources: dict[str, Resource] = {
             "config": ConfigurationResource(control, published),
             "servers": ServerResource(control),
             "version-put": VersionResource(control),
-            "retire": RetirementResource(control, published, living_stores, wanted),
+            "retire": RetirementResource(control, published, stores, limits_of(settings)),
         }
         control.endpoint.on(Operate, self._forwarded)
 
--- a/otterreach/simulation/planted_controllers.py
+++ b/otterreach/simulation/planted_controllers.py
@@ -5,6 +5,7 @@
 from otterreach.simulation.planted import Change, Planted
 
 ACCEPTOR = "otterreach.controller.acceptor:Acceptor"
+SNAPSHOT = "otterreach.controller.snapshot:SnapshotReceiver"
 PRIMARY = "otterreach.controller.primary:Primary"
 TARGETS = "[w for w in configuration.witnesses if w.id in configuration.backups]"
 ELECTION = "otterreach.controller.election:Election"
@@ -128,14 +129,14 @@
     Planted(
         "state-not-installed",
         "a new primary counts backups without giving them its state",
-        (Change(f"{ACCEPTOR}.install_snapshot", "replica.store.apply(ask.items)", "pass"),),
+        (Change(f"{SNAPSHOT}.commit", "replica.commit_staged(ask)", "replica.staged = None"),),
         "two-elections",
         rule="acknowledged is gone",
     ),
     Planted(
         "install-not-synced",
         "a backup to be answers before its disk has the state",
-        (Change(f"{ACCEPTOR}.install_snapshot", "Done() if await replica.sync() else", "Done() if True else"),),
+        (Change(f"{SNAPSHOT}.commit", "Done() if await replica.sync() else", "Done() if True else"),),
         "write-elect",
         rule="answered before it was synced",
     ),
@@ -163,7 +164,7 @@
     Planted(
         "snapshot-for-another-disk",
         "a machine with another disk takes the state that was meant for the former one",
-        (Change(f"{ACCEPTOR}.install_snapshot", "ask.target != replica.id or ", ""),),
+        (Change(f"{SNAPSHOT}._refusal", "ask.target != replica.id or ", ""),),
         "wipe-reform",
     ),
     Planted(
--- a/otterreach/simulation/planted_jobs.py
+++ b/otterreach/simulation/planted_jobs.py
@@ -47,7 +47,7 @@
     Planted(
         "jobs-append-not-synced",
         "a backup tells where its copy stands before that is on disk",
-        (Change(f"{BACKUP}._position_on_disk", "if not await self.replication.journal.sync():", "if False:"),),
+        (Change(f"{BACKUP}._position_on_disk", "if not await self.replication.disk.sync():", "if False:"),),
         "jobs",
         plan=ALL_STORES_LOSE_POWER,
         rule="acknowledged with too few copies",
--- a/otterreach/simulation/planted_operations.py
+++ b/otterreach/simulation/planted_operations.py
@@ -79,7 +79,7 @@
     Planted(
         "older-item-wins",
         "a copy of the control state takes an older item",
-        (Change("otterreach.runtime.store:ReplicatedStore.apply", "old.rev >= item.rev", "old.rev == item.rev"),),
+        (Change("otterreach.runtime.store:ReplicatedStore._take", "old.rev >= item.rev", "old.rev == item.rev"),),
         "control",
         plan=CORES_UNHEARD,
         rule="copy goes back",
