--- a/otterreach/simulation/planted.py
+++ b/otterreach/simulation/planted.py
@@ -11,7 +11,7 @@
 import inspect
 import sys
 import textwrap
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -20,8 +20,9 @@
 from otterreach.simulation import control, jobs
 from otterreach.simulation.explore import SCENARIOS, explore
 from otterreach.simulation.faults import Fault, Plan
+from otterreach.simulation.world import World
 
-RUNS = {"control": control.run, "jobs": jobs.run}
+RUNS: dict[str, Callable[..., tuple[World, Any]]] = {"control": control.run, "jobs": jobs.run}
 AFTER_S = 2.0  # a plan's run goes on behind its last fault
 EXPLORE_STATES = 12000  # a search without a find ends, and another order is tried
 
--- a/tests/control_api_support.py
+++ b/tests/control_api_support.py
@@ -32,6 +32,10 @@
         self._revision = 0
         self._waiting: list[asyncio.Future[bool]] = []
 
+    @property
+    def heard_primary_address(self) -> str:
+        return self.primary_address
+
     def revise(self, changes: Iterable[tuple[str, bytes]]) -> asyncio.Future[bool]:
         future: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
         if not self.is_primary:
@@ -94,6 +98,9 @@
     def on(self, kind: type, handler: Any) -> None:
         self.handlers[kind] = handler
 
+    def spawn(self, work: Any) -> Any:
+        return asyncio.ensure_future(work)
+
     async def call(self, address: str, value: Any, timeout_s: float) -> Any:
         if self.answer_after_s is None or self.answer_after_s > timeout_s:
             await asyncio.sleep(timeout_s)
