Simulation: faults at messages, closing faults, disks that stall or fill, slow machines

Cause: faults fell at drawn times alone, so hardly ever between two messages of an election or right after a change was sent; disks were only slow. Change: kind@Message begins when such a message is sent, or up to 6 ms later: kills, losses of power, freezes, cuts of both or one way at Prepare, Accept, AppendItems and EpochHeartbeat. Closing faults at AppendItems: all lose power or are killed, or up to survive.nodes disks go while the others lose power. A stalled disk ends no sync, a full one fails and its controller is started anew, a slow machine stands still between any two callbacks.

--- a/otterreach/simulation/control.py
+++ b/otterreach/simulation/control.py
@@ -93,6 +93,7 @@
         await self._until(lambda: self.history.newest > 0, START_S, "first configuration")
         self.troubles = faults.Troubles(world, self.plan)
         self.troubles.leader = self.invariants.leader
+        self.troubles.watch_messages()
         start = world.now
         for begin, end in self.plan.calm:
             await asyncio.sleep(max(0.0, start + begin + CONTACT_S - world.now))
--- a/otterreach/simulation/disk.py
+++ b/otterreach/simulation/disk.py
@@ -24,6 +24,7 @@
         self.synced = 0
         self.broken = False  # refuses writes
         self.slow_s = 0.0
+        self.stalled_until = 0.0  # no sync ends before that time
         self.room: int | None = None  # bytes that it takes, all files together
         self.second = 0  # bytes of the file that a rewrite is writing
         self.former: bytes | None = None  # the file that was replaced, while the folder's change may still be lost
@@ -42,7 +43,9 @@
         self.data, self.synced = b"", 0
 
     def delay(self) -> float:
-        return self.random.uniform(*self.sync_s) + self.slow_s
+        """How long a sync that begins now takes."""
+        stalled = max(0.0, self.stalled_until - asyncio.get_running_loop().time())
+        return self.random.uniform(*self.sync_s) + self.slow_s + stalled
 
     def fits(self, size: int) -> bool:
         """Whether so many bytes more find room."""
--- a/otterreach/simulation/faults.py
+++ b/otterreach/simulation/faults.py
@@ -6,14 +6,28 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from random import Random
+from typing import Any
 
+from otterreach.runtime.rpc import Endpoint
+from otterreach.simulation.loop import OWNER
 from otterreach.simulation.member_changes import MEMBER_KINDS, MemberChanges
 from otterreach.simulation.world import ZONES, Box, World
 
 KINDS = ("kill", "power", "freeze", "late_freeze", "cut", "one_way", "reset", "slow_link", "slow_disk")
+MORE_KINDS = (*KINDS, "stall_disk", "full_disk", "slow_machine")  # where there is a leader
+ON_DISKS = ("slow_disk", "stall_disk", "full_disk")
 CALM_S = 9.0  # syncS, and time for clients
 LEADER = "leader"  # in place of a name: the machine that leads when the fault begins
 FIRST_S = 4.0
+MESSAGES = ("Prepare", "Accept", "AppendItems", "EpochHeartbeat")  # after an @: when one is sent, the fault begins
+AT_MESSAGE = ("kill", "power", "freeze", "late_freeze", "cut", "one_way")
+AT_MESSAGE_SHARE = 0.25
+CLOSING_SHARE = 0.15
+SKIPPED_MESSAGES = (0, 0, 1, 2, 5)
+AFTER_MESSAGE_S = (0.0, 0.0005, 0.002, 0.006)
+ARMED_S = 2.0  # longer than any kind of message is rare
+ROOM_BYTES = 200  # left on a full disk
+STILL_S, TURN_S = (0.01, 0.15), (0.05, 0.25)  # a slow machine: how long it stands still, and how often
 LEADER_SHARE = 0.3
 ZONE = "zone:"  # and the name of a zone, in place of a name: all controllers there
 LOSS_SHARE = 0.4
@@ -68,7 +82,9 @@
     for _ in range(random.randint(1, 3)):
         calm.append((faults[-1].at if faults else 0.0, at))
         length = random.uniform(1.0, 7.0)
-        if members and random.random() < MEMBER_SHARE:
+        if leader and random.random() < CLOSING_SHARE:
+            episode = _closing(random, names, at, wipes)
+        elif members and random.random() < MEMBER_SHARE:
             episode = [_member_change(random, names, at)]
         elif zone_loss and random.random() < LOSS_SHARE:
             episode = [_zone_loss(random, at)]
@@ -77,7 +93,7 @@
         else:
             episode = [_one(random, names, others, at, length, leader) for _ in range(random.randint(1, 7))]
         faults += sorted(episode, key=lambda fault: fault.at)
-        over = max(f.at + f.for_s for f in episode)
+        over = max(f.at + (2 * f.for_s if "@" in f.kind else f.for_s) for f in episode)  # armed, then met
         calm[-1] = (calm[-1][0], at)
         calm.append((over, over + CALM_S))
         at = over + CALM_S
@@ -97,7 +113,7 @@
 
 
 def _brief_fault(random: Random, names: list[str]) -> Fault:
-    kind, name = random.choice(KINDS), random.choice([LEADER, *names])
+    kind, name = random.choice(MORE_KINDS), random.choice([LEADER, *names])
     return Fault(random.uniform(0.1, BRIEF_S), kind, (name,), random.uniform(0.05, BRIEF_S))
 
 
@@ -113,6 +129,16 @@
     return Fault(at, kind, (ZONE + random.choice(ZONES),), _duration(random))
 
 
+def _closing(random: Random, names: list[str], at: float, wipes: int) -> list[Fault]:
+    """Right after a change was sent on to a backup: all lose power or are killed, or some disks go as well."""
+    kind = random.choice(["power", "kill", "wipe"])
+    if kind != "wipe":
+        return [Fault(at, f"{kind}@AppendItems", tuple(names), ARMED_S)]
+    lost = tuple(random.sample(names, wipes))
+    rest = tuple(name for name in names if name not in lost)
+    return [Fault(at, "wipe@AppendItems", lost, ARMED_S), Fault(at, "power@AppendItems", rest, ARMED_S)]
+
+
 def _loss(random: Random, names: list[str], others: list[str], at: float, length: float, wipes: int) -> list[Fault]:
     """Disks go, as many as the system has to bear at once; at times while all else that counts loses power."""
     start = at + random.uniform(0.0, length)
@@ -127,16 +153,19 @@
 
 
 def _one(random: Random, names: list[str], others: list[str], at: float, length: float, leader: bool = False) -> Fault:
-    kind = random.choice(KINDS)
+    kind = random.choice(MORE_KINDS if leader else KINDS)
     pool = names if random.random() < 0.7 or not others else others
     count = 1 if random.random() < 0.7 else random.randint(1, len(pool))
+    if leader and random.random() < AT_MESSAGE_SHARE:
+        kind = f"{random.choice(AT_MESSAGE)}@{random.choice(MESSAGES)}"
+        return Fault(at + random.uniform(0.0, length), kind, (), _duration(random))
     if leader and random.random() < LEADER_SHARE:
         return Fault(at + random.uniform(0.0, length), kind, (LEADER,), _duration(random))
     if kind in ("cut", "one_way"):
         pool = names + others
         count = random.randint(1, max(1, len(pool) // 2))
     on = tuple(sorted(random.sample(pool, count)))
-    if kind == "slow_disk" and not set(on) <= set(names):
+    if kind in ON_DISKS and not set(on) <= set(names):
         kind = "kill"
     return Fault(
         at + random.uniform(0.0, length),
@@ -160,6 +189,8 @@
         self.members = MemberChanges(world)
         self._gone: dict[Fault, list[Box]] = {}  # machines of a member change, which may have left the world
         self._began: dict[Fault, Fault] = {}  # with the names that were meant
+        self.random = Random(world.seed ^ 0x57)
+        self.armed: dict[Fault, int] = {}  # those that wait for a message: how many of its kind pass before
         self.last_change = 0.0
         self.thawed: dict[str, float] = {}  # by machine, when last
         self.healed = -1e9  # when a cut was last over
@@ -189,7 +220,41 @@
                 on.add(self.members.present(name))
         return replace(fault, on=tuple(sorted(on & set(self.world.boxes))))
 
+    def _arm(self, fault: Fault) -> None:
+        """Wait for a message of the kind that the fault names, sent by any controller."""
+        self.armed[fault] = self.random.choice(SKIPPED_MESSAGES)
+        self.world.lines.append(f"{self.world.now:9.3f} ARMED {fault}")
+
+    def sent(self, sender: str, message: str) -> None:
+        """A process calls another. What waits for such a message happens now, or a moment later."""
+        for fault in [one for one in self.armed if one.kind.endswith(f"@{message}")]:
+            self.armed[fault] -= 1
+            if self.armed[fault] < 0:
+                del self.armed[fault]
+                on = fault.on or (sender,)
+                met = replace(fault, kind=fault.kind.partition("@")[0], on=on)
+                self.world.plainly(self.random.choice(AFTER_MESSAGE_S), self._begin, met)
+                self.world.plainly(fault.for_s, self._end, met)
+
+    def watch_messages(self) -> None:
+        """For as long as the run lasts: tell `sent` of each call between processes."""
+        troubles = self
+
+        def calling(plain: Any) -> Any:
+            def call(endpoint: Endpoint, address: str, value: Any, timeout_s: float) -> Any:
+                owner = OWNER.get()
+                if troubles.armed and owner is not None and owner.name in troubles.world.boxes:
+                    troubles.sent(owner.name, type(value).__name__)
+                return plain(endpoint, address, value, timeout_s)
+
+            return call
+
+        self.world.wrap(Endpoint, "call", calling)
+
     def _begin(self, planned: Fault) -> None:
+        if "@" in planned.kind:
+            self._arm(planned)
+            return
         fault = self._began[planned] = self._named(planned)
         self.active.append(fault)
         self.last_change = self.world.now
@@ -207,9 +272,18 @@
                 box.freeze(late=fault.kind == "late_freeze")
             elif fault.kind == "reset":
                 self.world.net.reset_some(box.ip, 0.7)
+            elif fault.kind == "stall_disk":
+                box.disk.stalled_until = self.world.now + fault.for_s
+            elif fault.kind == "full_disk":
+                box.disk.room = len(box.disk.data) + ROOM_BYTES
+            elif fault.kind == "slow_machine":
+                self._stutter(box, self.world.now + fault.for_s)
         self._levels()
 
     def _end(self, planned: Fault) -> None:
+        if "@" in planned.kind:
+            self.armed.pop(planned, None)
+            return
         fault = self._began.pop(planned)
         self.active.remove(fault)
         self.last_change = self.world.now
@@ -218,6 +292,9 @@
             if fault.kind in self.members.ends:
                 self.members.ends[fault.kind](box)
         for box in self._boxes(fault):
+            if fault.kind == "full_disk":
+                box.disk.room = None
+                box.kill()  # whoever gives it room starts it anew
             held = {f.kind for f in self.active if box.name in f.on}
             if not held & {"power", "wipe"}:
                 self.world.net.power_on(box.ip)
@@ -228,6 +305,20 @@
                 self.thawed[box.name] = self.world.now
         self._levels()
 
+    def _stutter(self, box: Box, end: float) -> None:
+        """A slow machine: it stands still again and again, between any two callbacks."""
+        if self.world.now >= end:
+            return
+        if box.runs:
+            box.freeze(late=self.random.random() < 0.5)
+            self.world.plainly(self.random.uniform(*STILL_S), self._go_on, box)
+        self.world.plainly(self.random.uniform(*TURN_S), self._stutter, box, end)
+
+    def _go_on(self, box: Box) -> None:
+        if not any(f.kind in ("freeze", "late_freeze") and box.name in f.on for f in self.active):
+            box.thaw()
+            self.thawed[box.name] = self.world.now
+
     def _levels(self) -> None:
         """Cuts and slowness as the faults that are active now make them."""
         net = self.world.net
