--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -13,6 +13,7 @@
 from otterreach.controller.acceptor import Acceptor
 from otterreach.controller.election import Election
 from otterreach.controller.epochs import EpochConfiguration
+from otterreach.controller.leaving import Leaving
 from otterreach.controller.membership import Membership
 from otterreach.controller.primary import Primary
 from otterreach.controller.replica_state import Mode, ReplicaState
@@ -49,6 +50,7 @@
         self.election = Election(self.replica, endpoint, random, self.become_primary)
         self.primary = Primary(self.replica, endpoint, follower, self.election)
         self.membership = Membership(self.replica, endpoint, follower, self.election, self.primary)
+        self.leaving = Leaving(self.replica, endpoint, self.election, self.primary, self.membership)
         self.replica.on_mode_change.append(self._tell_changed)
         self.compaction = Compaction(journal, self.replica.live_records, self.replica.live_bytes, REWRITE)
 
@@ -92,6 +94,11 @@
         """Where the primary is, as far as is known here."""
         return self.replica.primary_address
 
+    @property
+    def heard_primary_address(self) -> str:
+        """Where the primary is that was heard a moment ago; empty if none was."""
+        return self.replica.heard_primary_address
+
     async def confirm(self) -> bool:
         """Whether this is the primary now. Before a read."""
         return await self.primary.confirm()
@@ -126,6 +133,10 @@
         if await self.replica.sync():
             await asyncio.gather(self._watch(), self.primary.send_heartbeats())
 
+    async def leave(self) -> None:
+        """Give leadership and copy on before the end, within a bounded time."""
+        await self.leaving.leave()
+
     async def _watch(self) -> None:
         loop = self.replica.loop
         self.membership.asked_to_join_at = loop.time()
