--- /dev/null
+++ b/otterreach/simulation/transport.py
@@ -0,0 +1,240 @@
+"""One simulated TCP connection: its two directions, and the asyncio transport at each end."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections import deque
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from otterreach.simulation.loop import Process
+
+if TYPE_CHECKING:
+    from otterreach.simulation.net import Machine, Network, Server
+
+USER_TIMEOUT_S = 1.5  # as otterreach.runtime.rpc sets it
+HOLD_S = 0.003
+RETRANSMIT_S = 0.25  # a held-up byte comes so long after the cut has healed, at most
+
+
+@dataclass(slots=True, eq=False)
+class Chunk:
+    data: bytes | None  # None: the end of what is sent
+    sent_at: float
+    delivered: bool = False
+    held: bool = False  # its sender was frozen before the kernel had it
+
+
+class Flow:
+    """One direction of a connection."""
+
+    def __init__(self, network: Network, source: Transport, target: Transport) -> None:
+        self.network, self.source, self.target = network, source, target
+        self.chunks: deque[Chunk] = deque()  # not yet acknowledged
+        self.last_at = 0.0
+        self._watching = False
+
+    def send(self, data: bytes | None) -> None:
+        net = self.network
+        chunk = Chunk(data, net.loop.time())
+        self.chunks.append(chunk)
+        self._schedule(chunk, net.delay(self.source.machine, self.target.machine))
+        if not self._watching:
+            self._watching = True
+            net.later(USER_TIMEOUT_S, self._watch)
+
+    def _schedule(self, chunk: Chunk, delay: float) -> None:
+        now = self.network.loop.time()
+        self.last_at = max(self.last_at + 1e-6, now + delay)  # equal times would not keep their order
+        self.network.later(self.last_at - now, self._arrive, chunk)
+
+    def _arrive(self, chunk: Chunk) -> None:
+        net, source, target = self.network, self.source, self.target
+        if source.reset or chunk not in self.chunks or not chunk.delivered and not source.can_send:
+            return
+        if not chunk.delivered:
+            waits = any(not c.delivered for c in self._before(chunk)) or chunk.held and source.process.frozen
+            if waits or not net.path(source.machine, target.machine):
+                net.stuck.append((self, chunk))
+                return
+            chunk.delivered = True
+            if target.gone:
+                net.refuse(target, source)
+                return
+            target.arrived(chunk.data)
+        if net.path(target.machine, source.machine):
+            self.chunks.remove(chunk)
+        else:
+            net.stuck.append((self, chunk))
+
+    def _before(self, chunk: Chunk) -> list[Chunk]:
+        earlier = list(self.chunks)
+        return earlier[: earlier.index(chunk)]
+
+    def hold(self) -> None:
+        """The sender is frozen right before it hands over what it sends at this moment."""
+        for chunk in self.chunks:
+            chunk.held = chunk.held or not chunk.delivered and self.network.loop.time() - chunk.sent_at < HOLD_S
+
+    def again(self, chunk: Chunk) -> None:
+        if chunk.held and not self.source.process.frozen:
+            chunk.held, chunk.sent_at = False, self.network.loop.time()
+        self._schedule(chunk, self.network.random.uniform(0.0, RETRANSMIT_S))
+
+    def _watch(self) -> None:
+        """The sender's user timeout."""
+        self._watching = False
+        if not self.chunks or self.source.lost:
+            return
+        first = self.chunks[0]
+        waits = first.held and self.source.process.frozen  # the kernel does not have it yet
+        left = USER_TIMEOUT_S if waits else first.sent_at + USER_TIMEOUT_S - self.network.loop.time()
+        if left <= 1e-6:
+            self.source.lose(TimeoutError("user timeout"))
+        else:
+            self._watching = True
+            self.network.later(left, self._watch)
+
+    @property
+    def size(self) -> int:
+        return sum(len(c.data) for c in self.chunks if c.data is not None and not c.delivered)
+
+
+QUIET, _OPEN = os.pipe()  # never readable: what polls a virtual socket finds nothing
+
+
+class Socket:
+    """What the code asks of a socket."""
+
+    def __init__(self, address: tuple[str, int], transport: Transport | None = None) -> None:
+        self.address, self.transport = address, transport
+
+    def setsockopt(self, *_: Any) -> None:
+        pass
+
+    def fileno(self) -> int:
+        return QUIET
+
+    def shutdown(self, _: int) -> None:
+        if self.transport is not None:
+            self.transport.write_eof()
+
+    def getsockname(self) -> tuple[str, int]:
+        return self.address
+
+    def getpeername(self) -> tuple[str, int]:
+        return self.address
+
+
+class Transport(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, network: Network, machine: Machine, process: Process, life: int) -> None:
+        super().__init__()
+        self.network, self.machine, self.process, self.life = network, machine, process, life
+        self.protocol: Any = None
+        self.out: Flow
+        self.lost = False  # connection_lost has been called or is on its way
+        self.reset = False  # what was in flight is lost too
+        self.closing = False
+        self.ended = False  # the other end has ended its half
+        self._paused = False
+        self._unread: list[bytes | None] = []
+
+    @property
+    def gone(self) -> bool:
+        """Whether nobody is there any more to take bytes."""
+        return self.lost or self.process.dead or self.life != self.machine.life
+
+    @property
+    def can_send(self) -> bool:
+        """Whether the kernel of this end still has what it was to send."""
+        return self.life == self.machine.life and self.machine.powered
+
+    def accept(self, server: Server) -> None:
+        self.protocol = server.factory()
+        self.protocol.connection_made(self)
+
+    def arrived(self, data: bytes | None) -> None:
+        self.network.loop.call_as(self.process, self._take, data)
+
+    def _take(self, data: bytes | None) -> None:
+        if self.lost or self.protocol is None:
+            return
+        if self._paused:
+            self._unread.append(data)
+        elif data is None:
+            self.ended = True
+            if not self.protocol.eof_received():
+                self.close()
+        elif not self.closing:
+            self.protocol.data_received(data)
+
+    def lose(self, error: Exception | None) -> None:
+        """This end is over."""
+        if not self.lost:
+            self.lost = self.closing = True
+            self.network.loop.call_as(self.process, self._ended, error)
+
+    def _ended(self, error: Exception | None) -> None:
+        if self.protocol is not None:
+            self.protocol.connection_lost(error)
+
+    def write(self, data: Any) -> None:
+        if data and not self.closing and not self.process.dead:
+            self.out.send(bytes(data))
+
+    def writelines(self, list_of_data: Any) -> None:
+        self.write(b"".join(list_of_data))
+
+    def write_eof(self) -> None:
+        if not self.closing:
+            self.out.send(None)
+
+    def can_write_eof(self) -> bool:
+        return True
+
+    def close(self) -> None:
+        if not self.closing:
+            self.out.send(None)
+            self.closing = True
+            self.lose(None)
+
+    def abort(self) -> None:
+        if not self.lost or not self.reset:
+            self.reset = self.closing = True
+            self.network.refuse(self, self.out.target)
+            self.lose(None)
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        own, other = (self.machine.ip, 40_000), (self.out.target.machine.ip, 40_001)
+        known = {"socket": Socket(own, self), "sockname": own, "peername": other}
+        return known.get(name, default)
+
+    def get_write_buffer_size(self) -> int:
+        return self.out.size
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        pass
+
+    def pause_reading(self) -> None:
+        self._paused = True
+
+    def resume_reading(self) -> None:
+        self._paused = False
+        unread, self._unread = self._unread, []
+        for data in unread:
+            self.network.loop.call_as(self.process, self._take, data)
+
+    def is_reading(self) -> bool:
+        return not self._paused
+
+    def get_protocol(self) -> Any:
+        return self.protocol
+
+    def set_protocol(self, protocol: Any) -> None:
+        self.protocol = protocol
