A body that is handed on ends with its answer, whatever comes right behind it

Cause: a server may send a second answer in the same bytes as the first; ResponseParser.on_body handed the second one's body on to the listener of the first, so the client got two bytes too many, framed as whole. Change: nothing is handed on once the answer is whole. tests/test_http1.py and tests/test_proxy_requests.py fail without it.

--- a/otterreach/sidecar/http1.py
+++ b/otterreach/sidecar/http1.py
@@ -267,9 +267,11 @@
         return self.status not in BODILESS if self._must_frame else self.status == HTTPStatus.OK
 
     def on_body(self, data: bytes) -> None:
+        if self.response is not None:
+            return  # Danger: of another answer, right behind this one
         if self._sink:
             self._sink(data)
-        elif self.response is None:
+        else:
             self._message.add_body(data)
 
     def on_message_complete(self) -> None:
--- a/tests/test_http1.py
+++ b/tests/test_http1.py
@@ -40,6 +40,20 @@
     assert last and (last.status, last.body, last.headers[b"retry-after"]) == (503, b"body", b"0.250")
 
 
+@repeatable
+@given(strategies.lists(strategies.integers(0, 10_000), max_size=8), strategies.booleans())
+def test_a_body_that_is_handed_on_ends_with_its_answer(places: list[int], chunked: bool) -> None:
+    """A second answer may come right behind, in the same bytes: nothing of it belongs to the first one's body."""
+    own = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"
+    first = own if chunked else encode_response(200, b"body")
+    second = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    pieces: list[bytes] = []
+    parser = ResponseParser(pieces.append)
+    answers = [parser.feed(part) for part in cut(first + second, places) if part]
+    assert b"".join(pieces) == b"body"
+    assert answers[-1] is not None and not answers[-1].keep_alive
+
+
 @repeatable
 @given(strategies.lists(strategies.binary(max_size=200), max_size=5))
 def test_no_bytes_raise(parts: list[bytes]) -> None:
--- a/tests/test_proxy_requests.py
+++ b/tests/test_proxy_requests.py
@@ -280,6 +280,22 @@
             self.assertEqual((await front.ask(ident=f"q{n}")).body, b"mine")
         self.assertEqual(server.opened, 3)
 
+    @played
+    async def test_an_extra_answer_in_the_same_bytes_is_not_part_of_the_body(self) -> None:
+        world = World([route()])
+
+        async def twice(call: Call) -> None:
+            seal = SEAL.decode()
+            extra = f"HTTP/1.1 200 OK\r\n{seal}Content-Length: 2\r\n\r\nok".encode()
+            call.write(b"HTTP/1.1 200 X\r\nRequest-Id: %s\r\nContent-Length: 4\r\n" % call.id.encode())
+            call.write(SEAL + b"\r\nmine" + extra)
+
+        server = world.server("i-1", twice)
+        front = Caller(ingress(world))
+        for n in range(3):
+            self.assertEqual((await front.ask(ident=f"q{n}")).body, b"mine")
+        self.assertEqual(server.opened, 3)
+
     @played
     async def test_a_late_extra_answer_while_it_rests(self) -> None:
         world = World([route()])
