--- a/otterreach/simulation/planted_jobs.py
+++ b/otterreach/simulation/planted_jobs.py
@@ -58,7 +58,7 @@
         "the first piece of a whole copy is taken for all of it",
         (
             Change(f"{BACKUP}._on_install", "if ask.last:", "if True:"),
-            Change("otterreach.jobstore.replica_stream:split", "> PIECE", "> 1"),
+            Change("otterreach.jobstore.installation:pieces_of", "> PIECE", "> 1"),
         ),
         "jobs",
         plan=STORES_WIPED,
