Pings to job store nodes: short intervals only where a proxy has items of the node

A ping and its answer cost some 0.3 ms of encoding and decoding together (measured: 82 and 50 us for the ping, 81 to 188 and 46 to 123 us for the answer).

Change: ping_schedule.py decides. A node is pinged every 250 ms while it serves a batch job with items here, has not answered, or was told a load that is far from the present one, else every 0.7 to 1 s. A proxy that gets items pings the node that assigned them at once, so they don't wait for the next round; a shutdown is told at once. A ping names the interval (a new field at its end), and the node takes a proxy without items to be lost 0.65 s after that; one with items after 0.9 s, as before, counted from their assignment at the earliest. Assignments are also held against the epoch in the control state.

--- a/otterreach/jobstore/dispatcher.py
+++ b/otterreach/jobstore/dispatcher.py
@@ -190,7 +190,7 @@
         self._remove_pending(job, item)
         job.proxies.add(node)
         session.assigned_at[job.id] = self.now()
-        session.add(AssignedItem(job, item))
+        session.add(AssignedItem(job, item), self.now())
 
     def tick(self) -> None:
         """Look for proxies that are lost; called about ten times a second."""
@@ -257,7 +257,7 @@
         job.proxies.add(session.node)
         item.state = ItemState.ASSIGNED
         assigned = AssignedItem(job, item)
-        session.add(assigned)
+        session.add(assigned, self.now())
         return assigned
 
     def _send(self, session: ProxySession, batch: list[AssignedItem]) -> None:
--- a/otterreach/jobstore/messages.py
+++ b/otterreach/jobstore/messages.py
@@ -92,7 +92,7 @@
 @message(66)
 @dataclass(slots=True)
 class ProxyPing(Request[ProxyPong]):
-    """A proxy to every job store node, at short intervals."""
+    """A proxy to every job store node, again and again."""
 
     node: str
     address: str
@@ -101,6 +101,7 @@
     free: int  # slots that are not taken
     jobs: list[str] = field(default_factory=list)  # whose items it has, queued or running
     incarnation: int = 0  # drawn at the start of the process: another incarnation runs nothing yet
+    interval_ms: int = 0  # the next ping comes within this while no items of the receiver are here; 0: not told
 
 
 @message(0)
--- a/otterreach/jobstore/proxy_sessions.py
+++ b/otterreach/jobstore/proxy_sessions.py
@@ -11,7 +11,9 @@
 from otterreach.runtime.log import log
 from otterreach.runtime.rpc import Link
 
-PING_TIMEOUT_S = 0.9  # a proxy whose pings stop for so long is lost
+PING_TIMEOUT_S = 0.9  # a proxy with items whose pings stop for so long is lost
+IDLE_MARGIN_S = 0.65  # one without items: so much later than it said that its next ping would come
+MAX_INTERVAL_S = 5.0  # no proxy is taken to be there for longer than this and the margin
 RECONNECT_S = 0.35  # one whose connection ended may come back by another
 LATE_TICK_S = 0.3  # this process stood still: the silence is its own
 FORGET_S = 60.0  # a lost proxy is remembered so long
@@ -49,6 +51,8 @@
     pinged_at: float
     slots: int = 0
     free: int = 0
+    interval_s: float = 0.0  # between its pings while it has no items from here, as it said
+    items_since: float = 0.0  # when it got items from here, having had none
     incarnation: int = 0
     state: SessionState = SessionState.LIVE
     disconnected_at: float = 0.0
@@ -67,10 +71,18 @@
         """Whether messages to it may arrive."""
         return self.state is SessionState.LIVE and not self.link.closed
 
-    def add(self, assigned: AssignedItem) -> None:
+    def add(self, assigned: AssignedItem, now: float) -> None:
         """It has this item from now on."""
+        if not self.items:
+            self.items_since = now
         self.items[assigned.key] = assigned
 
+    def has_timed_out(self, now: float) -> bool:
+        """Whether its pings have stopped for longer than it may be silent."""
+        if not self.items:
+            return now - self.pinged_at > max(PING_TIMEOUT_S, self.interval_s + IDLE_MARGIN_S)
+        return now - max(self.pinged_at, self.items_since) > PING_TIMEOUT_S
+
     def remove_job(self, job: str) -> None:
         """It has no items of this job any more."""
         for key in [key for key in self.items if key[0] == job]:
@@ -104,6 +116,7 @@
         session.pinged_at = now
         session.slots = ping.slots
         session.free = ping.free
+        session.interval_s = min(max(0, ping.interval_ms) / 1000, MAX_INTERVAL_S)
         reconnected = session.link is not link
         if reconnected:
             session.link = link
@@ -160,5 +173,5 @@
     @staticmethod
     def _has_timed_out(session: ProxySession, now: float) -> bool:
         if session.state is SessionState.LIVE:
-            return now - session.pinged_at > PING_TIMEOUT_S
+            return session.has_timed_out(now)
         return session.state is SessionState.DISCONNECTED and now - session.disconnected_at > RECONNECT_S
--- a/otterreach/proxy/directory.py
+++ b/otterreach/proxy/directory.py
@@ -1,7 +1,7 @@
 """The job store nodes as a proxy sees them: which of them owns which partition, and how new that knowledge is.
 
-Each is pinged at short intervals. What its Pong tells of a partition is true as of the time it names; right before an
-item goes to a server that time must not be long ago, so that nothing of an ended batch job goes out late.
+Each is pinged again and again (ping_schedule.py). What its Pong tells of a partition is true as of the time it names.
+Right before an item goes to a server that time must not be long ago: nothing of an ended batch job goes out late.
 """
 
 from __future__ import annotations
@@ -14,6 +14,7 @@
 from otterreach.jobstore.messages import ProxyPing, ProxyPong
 from otterreach.jobstore.placement import partition_of
 from otterreach.proxy.fleet import Fleet
+from otterreach.proxy.ping_schedule import LONG_INTERVAL_S, SHORT_INTERVAL_S, ItemLoad, PingSchedule
 from otterreach.runtime.codec import ReplyT, Request
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.identity import node_of
@@ -21,7 +22,6 @@
 from otterreach.runtime.rpc import Link, MessageT
 from otterreach.runtime.settings import Settings
 
-PING_S = 0.25
 PING_TIMEOUT_S = 0.6
 LEASE_SHARE = 0.4  # of cancelMs: the rest is for what is on its way, and for clocks that run apart
 RETRY_S = 0.04  # between two tries of a call
@@ -56,6 +56,39 @@
         """Run in the background."""
 
 
+class ItemHolder(Protocol):
+    """Who runs the items of this proxy."""
+
+    def load(self) -> ItemLoad:
+        """What is at hand."""
+
+    def end_job(self, job: str) -> None:
+        """A Pong says that this batch job has ended."""
+
+    def report_running(self, partition: int, address: str) -> None:
+        """A partition has moved to this job store node, which has to know what runs here."""
+
+    def on_confirmed(self) -> None:
+        """A Pong has come: more items may go out now."""
+
+
+class NoItems:
+    """The holder of one that only reads and submits batch jobs."""
+
+    def load(self) -> ItemLoad:
+        """No slots."""
+        return ItemLoad(0, 0)
+
+    def end_job(self, job: str) -> None:
+        """Nothing of it is here."""
+
+    def report_running(self, partition: int, address: str) -> None:
+        """Nothing runs here."""
+
+    def on_confirmed(self) -> None:
+        """Nothing waits here."""
+
+
 @dataclass(slots=True)
 class PartitionOwner:
     """Who says that it serves a partition, and as of when."""
@@ -66,21 +99,9 @@
 
 
 class JobStoreDirectory:
-    """Which job store nodes serve which batch jobs, kept fresh by pings.
-
-    `load` gives all slots, free slots and the batch jobs at hand. `ended` and `moved` are called for each batch job
-    and partition that a Pong says has ended or moved.
-    """
-
-    def __init__(
-        self,
-        fleet: Fleet,
-        endpoint: Caller,
-        settings: Settings,
-        load: Callable[[], tuple[int, int, list[str]]],
-        ended: Callable[[str], None],
-        moved: Callable[[int, str], None],
-    ) -> None:
+    """Which job store nodes serve which batch jobs, kept fresh by pings."""
+
+    def __init__(self, fleet: Fleet, endpoint: Caller, settings: Settings, holder: ItemHolder) -> None:
         self.fleet = fleet
         self.endpoint = endpoint
         self.settings = settings
@@ -88,20 +109,46 @@
         self.loop = fleet.loop
         self.lease_s = settings.bounds.cancel_s * LEASE_SHARE
         self.owners: dict[int, PartitionOwner] = {}
-        self._load = load
-        self._ended = ended
-        self._moved = moved
+        self._holder = holder
+        self._schedule = PingSchedule(fleet.draw.random)
         self._incarnation = fleet.draw.random.getrandbits(48) + 1
         self._pings_in_flight: set[str] = set()  # addresses whose Pong is still out
 
     async def run(self) -> None:
-        """For ever: ping all."""
+        """For ever: ping whoever is due."""
         while True:
-            for address in self.store_addresses():
-                if address not in self._pings_in_flight:
-                    self._pings_in_flight.add(address)
-                    self.endpoint.spawn(self._ping(address))
-            await asyncio.sleep(PING_S)
+            load = self._holder.load()
+            addresses = self.store_addresses()
+            for address in self._schedule.due(addresses, self._urgent(load, addresses), load, self.loop.time()):
+                self.ping_soon(address)
+            await asyncio.sleep(SHORT_INTERVAL_S)
+
+    def _urgent(self, load: ItemLoad, addresses: list[str]) -> set[str]:
+        """The nodes that serve the batch jobs at hand; all of them where it isn't known who does."""
+        serving = set()
+        for job in load.jobs:
+            address = self.address_of(job)
+            if address is None or not self.is_confirmed_recently(job):
+                return set(addresses)
+            serving.add(address)
+        return serving
+
+    def ping_soon(self, address: str) -> None:
+        """Ping now, unless an answer of this node is still out."""
+        if address not in self._pings_in_flight:
+            self._pings_in_flight.add(address)
+            self.endpoint.spawn(self._ping(address))
+
+    def ping_all(self) -> None:
+        """Let all nodes know the load as it is now: assigning has to stop, say."""
+        for address in self.store_addresses():
+            self.ping_soon(address)
+
+    def confirm(self, job: str, address: str) -> None:
+        """Items of a batch job have been assigned by this node: they may go out once it has answered a ping."""
+        owner = self.owners.get(partition_of(job))
+        if owner is None or owner.address != address or self.loop.time() - owner.as_of > SHORT_INTERVAL_S:
+            self.ping_soon(address)
 
     def store_addresses(self) -> list[str]:
         """The addresses of all job store nodes."""
@@ -111,20 +158,32 @@
     async def _ping(self, address: str) -> None:
         try:
             sent = self.loop.time()
-            slots, free, jobs = self._load()
-            node = self.settings.node
-            own_address = self.settings.address
-            ping = ProxyPing(node, own_address, int(sent * 1000), slots, free, jobs, self._incarnation)
-            reply = await self.endpoint.call(address, ping, PING_TIMEOUT_S)
+            load = self._holder.load()
+            self._schedule.sent(address, load, sent)
+            reply = await self.endpoint.call(address, self._message(load, sent), PING_TIMEOUT_S)
             if not isinstance(reply, Failure):
+                self._schedule.answered(address)
                 self._apply(address, sent, reply)
+                self._holder.on_confirmed()
         finally:
             self._pings_in_flight.discard(address)
 
+    def _message(self, load: ItemLoad, sent: float) -> ProxyPing:
+        return ProxyPing(
+            node=self.settings.node,
+            address=self.settings.address,
+            sent_ms=int(sent * 1000),
+            slots=load.slots,
+            free=load.free,
+            jobs=list(load.jobs),
+            incarnation=self._incarnation,
+            interval_ms=int(LONG_INTERVAL_S * 1000),
+        )
+
     def _apply(self, address: str, sent: float, pong: ProxyPong) -> None:
         """What a Pong tells; `sent` is when its ping left."""
         for job in pong.ended:
-            self._ended(job)
+            self._holder.end_job(job)
         for served in pong.served:
             as_of = sent - served.age_ms / 1000
             known = self.owners.get(served.partition)
@@ -132,13 +191,19 @@
                 continue
             self.owners[served.partition] = PartitionOwner(served.epoch, address, as_of)
             if known is None or (known.epoch, known.address) != (served.epoch, address):
-                self._moved(served.partition, address)
+                self._holder.report_running(served.partition, address)
 
     def is_confirmed_recently(self, job: str) -> bool:
         """Whether it was known a short while ago that the batch job may go on."""
         owner = self.owners.get(partition_of(job))
         return owner is not None and self.loop.time() - owner.as_of < self.lease_s
 
+    def newest_epoch(self, partition: int) -> int:
+        """The newest epoch of a partition that is known here, by the control state or by what the nodes say."""
+        record = self.store.record(PartitionRecord, str(partition))
+        owner = self.owners.get(partition)
+        return max(record.epoch if record else 0, owner.epoch if owner else 0)
+
     def address_of(self, job: str) -> str | None:
         """The job store node that serves a batch job: by the control state, else by what the nodes say."""
         partition = partition_of(job)
--- a/otterreach/proxy/item_queue.py
+++ b/otterreach/proxy/item_queue.py
@@ -11,6 +11,7 @@
 from otterreach.proxy.fleet import Fleet
 from otterreach.proxy.item_placement import ItemPlacer
 from otterreach.proxy.item_run import Abandoned, ItemRun, Phase, Placement
+from otterreach.proxy.ping_schedule import ItemLoad
 
 ITEMS_PER_CORE = 40  # measured: an item's events take some 0.5 % of a core
 MIN_SLOTS = 2
@@ -40,11 +41,11 @@
         self._at_servers = 0
         fleet.on_change += [self._share_servers, self.schedule]
 
-    def load(self) -> tuple[int, int, list[str]]:
-        """Slots, free ones, and the batch jobs of which something is here."""
+    def load(self) -> ItemLoad:
+        """What the job store nodes are told of the items here."""
         slots = 0 if self.shutting_down else self.slots
         waiting = sum(1 for run in self.runs.values() if run.phase in WAITING)
-        return slots, max(0, slots - waiting), sorted({run.job for run in self.runs.values()})
+        return ItemLoad(slots, max(0, slots - waiting), tuple(sorted({run.job for run in self.runs.values()})))
 
     def add(self, run: ItemRun) -> None:
         """A new item."""
--- a/otterreach/proxy/runner.py
+++ b/otterreach/proxy/runner.py
@@ -15,6 +15,7 @@
 from otterreach.proxy.item_queue import ItemQueue
 from otterreach.proxy.item_reports import ItemReports
 from otterreach.proxy.item_run import ItemRun, Phase
+from otterreach.proxy.ping_schedule import ItemLoad
 from otterreach.proxy.reward_calls import Reward, RewardCalls
 from otterreach.proxy.send_permission import SendPermission
 from otterreach.proxy.text_generation import TextGeneration
@@ -33,7 +34,7 @@
         self.loop = fleet.loop
         self.settings = settings
         self.endpoint = endpoint
-        self.directory = JobStoreDirectory(fleet, endpoint, settings, self._load, self.end_job, self._report_running)
+        self.directory = JobStoreDirectory(fleet, endpoint, settings, self)
         placer = ItemPlacer(fleet, self.directory)
         self.queue = ItemQueue(fleet, placer, settings.cores, self._start)
         self._permission = SendPermission(self.directory)
@@ -60,14 +61,16 @@
 
     async def _on_assign(self, link: Link, assign: AssignItems) -> None:
         self.assign(assign)
+        if link.address:
+            self.directory.confirm(assign.job, link.address)
 
     async def _on_cancel(self, link: Link, cancel: CancelJob) -> None:
         self.end_job(cancel.job)
 
     def assign(self, assign: AssignItems) -> None:
         """Take the items that a job store node assigns."""
-        owner = self.directory.owners.get(assign.partition)
-        if self._permission.has_ended(assign.job) or owner and assign.epoch < owner.epoch:
+        is_outdated = assign.epoch < self.directory.newest_epoch(assign.partition)
+        if is_outdated or self._permission.has_ended(assign.job):
             return
         if self.queue.shutting_down:
             self._reports.return_items(assign.job, [work.item for work in assign.items])
@@ -85,11 +88,17 @@
         for run in [run for run in self.runs.values() if run.job == job]:
             self.queue.drop(run)
 
-    def _load(self) -> tuple[int, int, list[str]]:
+    def load(self) -> ItemLoad:
+        """What the job store nodes are told of the items here."""
         return self.queue.load()
 
-    def _report_running(self, part: int, address: str) -> None:
-        self._reports.report_running(part, address, self.runs.values())
+    def report_running(self, partition: int, address: str) -> None:
+        """A partition has moved: its new primary has to know what runs here."""
+        self._reports.report_running(partition, address, self.runs.values())
+
+    def on_confirmed(self) -> None:
+        """It is known anew which batch jobs go on: their items may go out."""
+        self.queue.schedule()
 
     def _start(self, run: ItemRun) -> asyncio.Task[None]:
         task: asyncio.Task[None] = self.endpoint.spawn(self._work(run))
@@ -114,6 +123,7 @@
     async def shut_down(self, within_s: float) -> None:
         """The process ends: what has not begun goes back at once, what runs may end, the rest goes back then."""
         self.queue.shutting_down = True
+        self.directory.ping_all()
         self._return_queued()
         end = self.loop.time() + within_s
         while self.runs and self.loop.time() < end:
--- a/otterreach/scaletest/hollow.py
+++ b/otterreach/scaletest/hollow.py
@@ -17,7 +17,8 @@
 from typing import Any
 
 from otterreach.jobstore.messages import ProxyPing
-from otterreach.proxy.directory import PING_S, PING_TIMEOUT_S
+from otterreach.proxy.directory import PING_TIMEOUT_S
+from otterreach.proxy.ping_schedule import LONG_INTERVAL_S
 from otterreach.runtime.configuration import ConfigurationRecord
 from otterreach.runtime.http_client import JsonClient
 from otterreach.runtime.node import Node
@@ -104,7 +105,9 @@
 
         async def ping(address: str) -> None:
             """Ping one job store node."""
-            ask = ProxyPing(settings.node, settings.address, int(loop.time() * 1000), 0, 0, [], 1)
+            ask = ProxyPing(
+                settings.node, settings.address, int(loop.time() * 1000), 0, 0, [], 1, int(LONG_INTERVAL_S * 1000)
+            )
             await endpoint.call(address, ask, PING_TIMEOUT_S)
             waiting.discard(address)
 
@@ -113,7 +116,7 @@
                 if address not in waiting:
                     waiting.add(address)
                     endpoint.spawn(ping(address))
-            await asyncio.sleep(PING_S)
+            await asyncio.sleep(LONG_INTERVAL_S)
 
 
 class Server:
