Items that no server can be reached for go back, and another proxy runs them

Cause: a proxy kept items that it could place nowhere until they were given up: cut off from the servers, with all connections taken, or with an old copy of the control state, while servers had room.

Change: item_return.py decides by what is in the way. Unreachable servers (two attempts in a row that brought nothing), no free connection, or state older than 1 s that shows no server: back after 1.5 s, with a text after 2.5 s. Full servers, a missing version, a missing route, an unconfirmed batch job: wait, for others would wait too. ReturnItems says so (a new field at its end); the dispatcher prefers other proxies for that model for 3 s, unless all are blocked. Items are taken from a heap of its own module. An item that has been at no server for 2 s is not bound by the proxy's share of a server that has room to spare by its reports and rejections. What holds up others in the queue is no longer the batch job but the need: batch job, route, version of the text.

Result: tests of each case in virtual time; job store, proxy, compatibility tests pass.

--- a/otterreach/jobstore/dispatcher.py
+++ b/otterreach/jobstore/dispatcher.py
@@ -6,24 +6,25 @@
 from __future__ import annotations
 
 import asyncio
-import heapq
 from bisect import insort
 from collections.abc import Callable, Iterable
 from random import Random
 from typing import Protocol
 
+from otterreach.jobstore.assignment_blocks import AssignmentBlocks
+from otterreach.jobstore.free_proxies import FreeProxies
 from otterreach.jobstore.job import ItemState, Job, JobItem, JobState
 from otterreach.jobstore.job_routes import JobDeadlines
 from otterreach.jobstore.messages import AssignItems, CancelJob, ProxyPing, WorkItem
 from otterreach.jobstore.partition_replica import PartitionReplica
-from otterreach.jobstore.placement import choose_runners, partition_of
+from otterreach.jobstore.placement import partition_of
 from otterreach.jobstore.proxy_sessions import AssignedItem, ProxySession, ProxySessions, SessionState
+from otterreach.runtime.log import log
 from otterreach.runtime.rpc import Link
 
 FORGOTTEN_S = 2.0  # a proxy that doesn't name a job so long after it got items of it has lost them
 RUNNING_REPORT_WAIT_S = 0.4  # how long a new primary lets proxies tell what they run
 SURPLUS_DELAY_S = 60.0  # items that no trainer waits for count as due so much later
-MAX_LOAD = 1.5  # items at a proxy, for each of its slots
 NO_SURPLUS = 1 << 60  # an order above all
 
 QueuedItem = tuple[tuple[int, int], str]  # order, id of the item
@@ -69,6 +70,7 @@
         self.surplus_from: dict[str, int] = {}  # by job: from this order on, groups that its trainer doesn't wait for
         self.assignable_from: dict[int, float] = {}  # by partition served here: by then proxies have told what they run
         self.stopped = False
+        self._blocks = AssignmentBlocks()
         self._scheduled = False
 
     # Partitions and jobs -------------------------------------------------------------------------
@@ -175,6 +177,19 @@
         if session is None:
             return
         session.slots = 0
+        self._take_back(session, job_id, items)
+
+    def items_out_of_reach(self, node: str, job_id: str, items: list[str]) -> None:
+        """A proxy reached no server for these: others get the items of this model for a while."""
+        session = self.sessions.by_node.get(node)
+        job = self.open_jobs.get(job_id)
+        if session is None or job is None:
+            return
+        log("items_out_of_reach", proxy=node, job=job_id, items=len(items))
+        self._blocks.add(node, job.model, self.now())
+        self._take_back(session, job_id, items)
+
+    def _take_back(self, session: ProxySession, job_id: str, items: list[str]) -> None:
         for item_id in items:
             assigned = session.items.pop((job_id, item_id), None)
             if assigned:
@@ -210,7 +225,8 @@
         self._scheduled = False
         if self.stopped or not any(self.pending.values()):
             return
-        free = self._free_sessions()
+        sessions = self.sessions.by_node
+        free = FreeProxies(sessions.values(), self.host.item_slots(), self._blocks, self.random, self.now())
         if not free:
             return
         batches: dict[str, list[AssignedItem]] = {}  # by node
@@ -220,23 +236,14 @@
         surplus = [(job, NO_SURPLUS) for job in ready]
         for job, end in [*needed, *surplus]:
             queue = self.pending[job.id]
-            while queue and free and queue[0][0][0] < end:
-                _, draw, session = heapq.heappop(free)
+            while queue and queue[0][0][0] < end:
+                session = free.take(job.model)
+                if session is None:
+                    break
                 batches.setdefault(session.node, []).append(self._assign_next(session, job, queue))
-                if session.load < MAX_LOAD:
-                    heapq.heappush(free, (session.load, draw, session))
-            if not free:
-                break
+                free.put_back(session)
         for node, batch in batches.items():
-            self._send(self.sessions.by_node[node], batch)
-
-    def _free_sessions(self) -> list[tuple[float, float, ProxySession]]:
-        """A heap of the proxies that may get items, the least loaded first; among equals a random draw decides."""
-        slots = {session.node: session.slots for session in self.sessions.by_node.values() if session.can_be_assigned}
-        runners = [self.sessions.by_node[node] for node in choose_runners(slots, self.host.item_slots())]
-        free = [(session.load, self.random.random(), session) for session in runners if session.load < MAX_LOAD]
-        heapq.heapify(free)
-        return free
+            self._send(sessions[node], batch)
 
     def _ready_jobs(self) -> list[Job]:
         """The jobs whose items may be assigned now, the one that is due first at the front."""
--- /dev/null
+++ b/otterreach/jobstore/free_proxies.py
@@ -0,0 +1,70 @@
+"""The proxies that may get items in one round of assigning: the least loaded first, among equals by a random draw."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from random import Random
+
+from otterreach.jobstore.assignment_blocks import AssignmentBlocks
+from otterreach.jobstore.placement import choose_runners
+from otterreach.jobstore.proxy_sessions import ProxySession
+
+MAX_LOAD = 1.5  # items at a proxy, for each of its slots
+
+
+class FreeProxies:
+    """Made for one round, from the sessions as they are then."""
+
+    def __init__(
+        self, sessions: Iterable[ProxySession], server_slots: int, blocks: AssignmentBlocks, random: Random, now: float
+    ) -> None:
+        self._random = random
+        self._blocks = blocks
+        self._now = now
+        self._sessions = {session.node: session for session in sessions if session.can_be_assigned}
+        self._server_slots = server_slots
+        self._heap: list[tuple[float, float, ProxySession]] = []
+        self._blocked: dict[str, set[str]] = {}  # nodes, by model
+        self._added: set[str] = set()
+        self._add_runners(set())
+
+    def __bool__(self) -> bool:
+        """Whether any proxy has room."""
+        return bool(self._heap)
+
+    def take(self, model: str) -> ProxySession | None:
+        """The proxy for the next item of a model; `put_back` gives it its place again."""
+        blocked = self._blocked_for(model)
+        passed_over = []
+        found: ProxySession | None = None
+        while self._heap and found is None:
+            entry = heapq.heappop(self._heap)
+            if entry[2].node in blocked:
+                passed_over.append(entry)
+            else:
+                found = entry[2]
+        for entry in passed_over:
+            heapq.heappush(self._heap, entry)
+        return found
+
+    def put_back(self, session: ProxySession) -> None:
+        """It may get more, if it has room."""
+        if session.load < MAX_LOAD:
+            heapq.heappush(self._heap, (session.load, self._random.random(), session))
+
+    def _blocked_for(self, model: str) -> set[str]:
+        """The nodes that get none of this model. Others take their places among those that run items."""
+        blocked = self._blocked.get(model)
+        if blocked is None:
+            blocked = self._blocked[model] = self._blocks.blocked(model, self._sessions.keys(), self._now)
+            if blocked:
+                self._add_runners(blocked)
+        return blocked
+
+    def _add_runners(self, without: set[str]) -> None:
+        slots = {node: session.slots for node, session in self._sessions.items() if node not in without}
+        for node in choose_runners(slots, self._server_slots):
+            if node not in self._added:
+                self._added.add(node)
+                self.put_back(self._sessions[node])
--- a/otterreach/jobstore/messages.py
+++ b/otterreach/jobstore/messages.py
@@ -174,6 +174,7 @@
 
     job: str
     items: list[str]
+    out_of_reach: bool = False  # the proxy reached no server for them: others may
 
 
 @message(72)
--- a/otterreach/proxy/draw.py
+++ b/otterreach/proxy/draw.py
@@ -24,6 +24,8 @@
 REJECTION_SAMPLE = 15.0  # what a rejection counts as, in typical times
 HALF_LIFE_S = 2.0  # an estimate without new samples has come half the way back to the mean by then
 REJECTION_HALF_LIFE_S = 0.7  # the same after a rejection: the server is there, and has room again soon
+REJECTION_MEMORY_S = 1.0  # a server that has rejected a request counts as full for so long
+SPARE_LOAD_SHARE = 0.5  # of its slots: below it a server has room to spare
 MAX_LOAD_AGE_S = 1.5  # a reported load is of no use when it is older
 NEW_CONNECTION_FACTOR = 3.0  # a new connection counts as response time, at least by this factor ...
 NEW_CONNECTION_SHARE = 0.1  # ... and by as much as leaves servers without an idle one so much of the odds together
@@ -32,7 +34,7 @@
 class Estimate:
     """What is known of one server's speed and load. Ends with its incarnation."""
 
-    __slots__ = ("half_life_s", "in_flight", "load", "load_at", "sent_since", "slowness", "updated_at")
+    __slots__ = ("half_life_s", "in_flight", "load", "load_at", "rejected_at", "sent_since", "slowness", "updated_at")
 
     def __init__(self) -> None:
         self.slowness = 0.0  # response time over the route's typical time; 0: none is known yet
@@ -41,6 +43,7 @@
         self.in_flight = 0  # own
         self.load = 0  # as the server last reported it
         self.load_at = -1e9
+        self.rejected_at = -1e9
         self.sent_since = 0  # own sends less own ends since it was told
 
     @property
@@ -74,6 +77,11 @@
             return max(self.in_flight, self.load + self.sent_since)
         return self.in_flight * proxies
 
+    def has_spare_room(self, slots: int, now: float) -> bool:
+        """Whether the server surely isn't full, by its last report and rejections; without reports by own requests."""
+        is_rejecting = now - self.rejected_at < REJECTION_MEMORY_S
+        return not is_rejecting and self.load_now(now, 1) < slots * SPARE_LOAD_SHARE
+
 
 class Draw:
     """The estimates' arithmetic and the draw. `proxies`: how many there are, this one included."""
@@ -101,6 +109,7 @@
         """Turned away before it ran."""
         self._add_sample(estimate, REJECTION_SAMPLE, FAIL_ALPHA, now)
         estimate.half_life_s = REJECTION_HALF_LIFE_S
+        estimate.rejected_at = now
 
     def _add_sample(self, estimate: Estimate, sample: float, alpha: float, now: float) -> None:
         sample = min(MAX_SAMPLE, max(MIN_SAMPLE, sample))
--- a/otterreach/proxy/item_queue.py
+++ b/otterreach/proxy/item_queue.py
@@ -4,12 +4,13 @@
 
 import asyncio
 from bisect import insort
-from collections.abc import Callable
 from math import ceil
+from typing import Protocol
 
 from otterreach.jobstore.placement import MIN_RUNNERS, RUNNER_SLOTS_SHARE
 from otterreach.proxy.fleet import Fleet
-from otterreach.proxy.item_placement import ItemPlacer
+from otterreach.proxy.item_placement import ItemPlacer, Need
+from otterreach.proxy.item_return import Obstacle, goes_back
 from otterreach.proxy.item_run import Abandoned, ItemRun, Phase, Placement
 from otterreach.proxy.ping_schedule import ItemLoad
 
@@ -19,22 +20,34 @@
 MAX_RETRY_PAUSE_S = 0.16
 MAX_DOUBLINGS = 6
 RECHECK_S = 0.05  # between two looks at the queue while nothing may go out
+MIN_PROXIES_TO_RETURN = 2  # with fewer there is no other that could run an item
 WAITING = (Phase.QUEUED, Phase.RUNNING, Phase.PAUSED)
 
 
+class QueueOwner(Protocol):
+    """Who runs what leaves the queue."""
+
+    def start(self, run: ItemRun) -> asyncio.Task[None]:
+        """Make the task of an item that goes out for the first time."""
+
+    def return_item(self, run: ItemRun) -> None:
+        """No server could be reached for it from here: let another proxy run it."""
+
+    def state_age_s(self) -> float:
+        """How old the copy of the control state is."""
+
+
 class ItemQueue:
-    """All items of this proxy. `start` makes the task of one that goes out for the first time."""
+    """All items of this proxy."""
 
-    def __init__(
-        self, fleet: Fleet, placer: ItemPlacer, cores: float, start: Callable[[ItemRun], asyncio.Task[None]]
-    ) -> None:
+    def __init__(self, fleet: Fleet, placer: ItemPlacer, cores: float, owner: QueueOwner) -> None:
         self.fleet = fleet
         self.loop = fleet.loop
         self.placer = placer
         self.slots = max(MIN_SLOTS, int(cores * ITEMS_PER_CORE))  # what its processor bears
         self.runs: dict[tuple[str, str], ItemRun] = {}
         self.shutting_down = False  # nothing new is begun
-        self._start_task = start
+        self._owner = owner
         self._queue: list[tuple[float, int, ItemRun]] = []  # by when they are due
         self._scheduled = False
         self._recheck: asyncio.TimerHandle | None = None
@@ -93,19 +106,31 @@
         self._queue = [entry for entry in self._queue if entry[2].phase is Phase.QUEUED]
         if not self._queue or self._at_servers >= self.slots:
             return
-        stuck: set[tuple[str, int | None]] = set()  # of a batch job nothing more is tried once one finds no server
+        stuck: dict[Need, Obstacle] = {}  # of one need nothing more is tried once one item finds no server
         for _, _, run in self._queue:
-            need = (run.job, run.text_version)
-            if need in stuck or self.shutting_down and run.task is None:
+            if self.shutting_down and run.task is None:
                 continue
-            placement = self.placer.place(run)
-            if placement is not None:
+            need = self.placer.need(run)
+            placement = stuck.get(need) or self.placer.place(run)
+            if self._goes_back(run, placement):
+                self._owner.return_item(run)
+            elif isinstance(placement, Obstacle):
+                stuck[need] = placement
+            else:
                 self._start(run, placement)
                 return
-            stuck.add(need)
         if self._recheck is None:
             self._recheck = self.loop.call_later(RECHECK_S, self._on_recheck)
 
+    def _goes_back(self, run: ItemRun, placement: Placement | Abandoned | Obstacle) -> bool:
+        """Whether another proxy is to try."""
+        if isinstance(placement, Abandoned) or self.fleet.proxies < MIN_PROXIES_TO_RETURN:
+            return False
+        obstacle = placement if isinstance(placement, Obstacle) else None
+        waited_s = self.loop.time() - run.left_server_at
+        has_text = bool(len(run.transcript))
+        return goes_back(obstacle, waited_s, run.unreachable, self._owner.state_age_s(), has_text)
+
     def _on_recheck(self) -> None:
         self._recheck = None
         self.schedule()
@@ -114,7 +139,7 @@
         """Danger: the task's first step counts it at its server, so it must come before the next look at the queue."""
         run.placement = placement
         if run.task is None:
-            run.task = self._start_task(run)
+            run.task = self._owner.start(run)
         elif run.next_server and not run.next_server.done():
             run.next_server.set_result(None)
         self.change_phase(run, Phase.RUNNING)
--- a/otterreach/proxy/item_reports.py
+++ b/otterreach/proxy/item_reports.py
@@ -51,11 +51,11 @@
         items = [f"{run.job} {run.item}" for run in runs if partition_of(run.job) == part]
         self._send(address, RunningItems(part, self.node, items))
 
-    def return_items(self, job: str, items: list[str]) -> None:
-        """Another proxy may run them."""
+    def return_items(self, job: str, items: list[str], out_of_reach: bool = False) -> None:
+        """Another proxy may run them. `out_of_reach`: this one could reach no server for them."""
         address = self.directory.address_of(job)
         if address and items:
-            self._send(address, ReturnItems(job, items))
+            self._send(address, ReturnItems(job, items, out_of_reach))
 
     def _send(self, address: str, message: Any) -> None:
         self.endpoint.spawn(self._send_over_link(address, message))
--- a/otterreach/proxy/item_run.py
+++ b/otterreach/proxy/item_run.py
@@ -84,6 +84,8 @@
         self.failures = 0  # answers of 500
         self.reward_failures = 0
         self.retries = 0  # since something was last generated
+        self.left_server_at = now  # since then it has been at no server
+        self.unreachable = 0  # attempts in a row that brought nothing from their server
         self.avoided: set[str] = set()  # servers that failed last
         self.route_missing_since: float | None = None
         self.transcript = Transcript()
--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -43,7 +43,7 @@
         self.fleet = Fleet(node.store, random, opener=opener)
         self.requests = Requests(self.fleet, node.follower.age_s)
         self.streams = Streams(self.requests)
-        self.runner = Runner(self.fleet, node.endpoint, node.settings)
+        self.runner = Runner(self.fleet, node.endpoint, node.settings, node.follower.age_s)
         self.batch_jobs = BatchJobs(self.runner.directory)
         self.orders = WeightOrders(node, JsonClient())
         self.ingress = Ingress(self.handle, lambda: self.fleet.config.caps)
--- a/otterreach/proxy/runner.py
+++ b/otterreach/proxy/runner.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from otterreach.jobstore.messages import AssignItems, CancelJob
 from otterreach.proxy.directory import Caller, JobStoreDirectory
@@ -29,18 +30,20 @@
 class Runner:
     """All items of this proxy."""
 
-    def __init__(self, fleet: Fleet, endpoint: Caller, settings: Settings) -> None:
+    def __init__(self, fleet: Fleet, endpoint: Caller, settings: Settings, state_age_s: Callable[[], float]) -> None:
+        """:param state_age_s: how old the copy of the control state is"""
         self.fleet = fleet
         self.loop = fleet.loop
         self.settings = settings
         self.endpoint = endpoint
         self.directory = JobStoreDirectory(fleet, endpoint, settings, self)
         placer = ItemPlacer(fleet, self.directory)
-        self.queue = ItemQueue(fleet, placer, settings.cores, self._start)
+        self.queue = ItemQueue(fleet, placer, settings.cores, self)
         self._permission = SendPermission(self.directory)
         self._texts = TextGeneration(fleet, placer, self.queue, self._permission)
         self._rewards = RewardCalls(fleet, self.directory, self._permission)
         self._reports = ItemReports(settings.node, endpoint, self.directory)
+        self._state_age_s = state_age_s
         self._order = 0
         endpoint.on(AssignItems, self._on_assign)
         endpoint.on(CancelJob, self._on_cancel)
@@ -100,10 +103,21 @@
         """It is known anew which batch jobs go on: their items may go out."""
         self.queue.schedule()
 
-    def _start(self, run: ItemRun) -> asyncio.Task[None]:
+    def state_age_s(self) -> float:
+        """How old the copy of the control state is."""
+        return self._state_age_s()
+
+    def start(self, run: ItemRun) -> asyncio.Task[None]:
+        """The task of an item that goes out for the first time."""
         task: asyncio.Task[None] = self.endpoint.spawn(self._work(run))
         return task
 
+    def return_item(self, run: ItemRun) -> None:
+        """No server could be reached for it from here."""
+        log("item_returned", job=run.job, item=run.item, attempts=run.unreachable)
+        self._reports.return_items(run.job, [run.item], out_of_reach=True)
+        self.queue.drop(run)
+
     async def _work(self, run: ItemRun) -> None:
         """One item from its first server to its report."""
         try:
--- a/otterreach/proxy/text_generation.py
+++ b/otterreach/proxy/text_generation.py
@@ -61,11 +61,22 @@
         )
         run.server = server
         try:
-            return await self.fleet.attempt(server, exchange), attempt
+            outcome = await self.fleet.attempt(server, exchange)
+            self._record_contact(run, outcome)
+            return outcome, attempt
         finally:
             run.exchange = None
             run.server = None
 
+    def _record_contact(self, run: ItemRun, outcome: Outcome) -> None:
+        """Whether the item has been at the server, and whether the server was there at all."""
+        if outcome.status:
+            run.unreachable = 0
+        elif outcome.reason != "unwanted":
+            run.unreachable += 1
+        if outcome.status and outcome.execution is not Execution.NOT_EXECUTED:
+            run.left_server_at = self.loop.time()
+
     def _resume_headers(self, run: ItemRun, route: Route) -> Headers:
         """What asks the server to go on after the last event."""
         headers: Headers = {}
--- a/tests/compatibility/test_messages.py
+++ b/tests/compatibility/test_messages.py
@@ -44,7 +44,10 @@
     ("Release", "ordered_ms"): "since_last_order_ms",
 }
 # table -> the fields that it got since, at its end, in order; their defaults leave the bytes as they were
-ADDED_FIELDS: dict[str, list[str]] = {"ProxyPing": ["interval_ms"]}
+ADDED_FIELDS: dict[str, list[str]] = {
+    "ProxyPing": ["interval_ms"],
+    "GiveBack": ["out_of_reach"],
+}
 
 
 def value_of(recorded: Any, hint: Any) -> Any:
--- a/tests/jobstore/test_dispatch.py
+++ b/tests/jobstore/test_dispatch.py
@@ -10,7 +10,8 @@
 from math import ceil
 from typing import Any
 
-from otterreach.jobstore.dispatcher import MAX_LOAD, RUNNING_REPORT_WAIT_S
+from otterreach.jobstore.dispatcher import RUNNING_REPORT_WAIT_S
+from otterreach.jobstore.free_proxies import MAX_LOAD
 from otterreach.jobstore.job import JobState
 from otterreach.jobstore.messages import JobResults, ReturnItems, RunningItems
 from otterreach.jobstore.placement import partition_of
@@ -120,6 +121,62 @@
         play(scene)
 
 
+class OutOfReachTest(unittest.TestCase):
+    """Items that a proxy could reach no server for: another one gets them."""
+
+    @staticmethod
+    async def give_back(runner: Runner, world: World, job: str) -> list[str]:
+        """All that the proxy has of the job goes back."""
+        items = [item for name, item in runner.works if name == job]
+        for item in items:
+            del runner.works[job, item]
+        link = await runner.endpoint.link(world.primary_of(job).address)
+        assert not isinstance(link, Failure)
+        link.send(ReturnItems(job, items, True))
+        await asyncio.sleep(0.1)
+        return items
+
+    def test_another_proxy_runs_them(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            first, second = await proxies(world, 2, slots=6, run_s=None)
+            await client.submit("a", body=lot("a", 8, 1))
+            await asyncio.sleep(0.1)
+            items = await self.give_back(first, world, "a")
+            self.assertEqual(4, len(items))
+            self.assertEqual(8, len(second.works))
+            self.assertEqual(4, len(first.assigned))  # nothing came back to it
+
+        play(scene)
+
+    def test_a_job_that_has_moved_or_ended_is_not_touched(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            first, second = await proxies(world, 2, slots=6, run_s=None)
+            await client.submit("a", body=lot("a", 4, 1))
+            await asyncio.sleep(0.1)
+            await client.end("a")
+            await asyncio.sleep(0.1)
+            link = await first.endpoint.link(world.primary_of("a").address)
+            assert not isinstance(link, Failure)
+            link.send(ReturnItems("a", ["a-0"], True))
+            await asyncio.sleep(0.5)
+            self.assertEqual({}, second.works)
+
+        play(scene)
+
+    def test_where_no_proxy_reaches_a_server_each_is_tried_in_turn(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            both = await proxies(world, 2, slots=6, run_s=None)
+            await client.submit("a", body=lot("a", 1, 1))
+            for _ in range(4):
+                await asyncio.sleep(0.1)
+                holders = [runner for runner in both if runner.works]
+                self.assertEqual(1, len(holders))
+                await self.give_back(holders[0], world, "a")
+            self.assertTrue(all(runner.assigned for runner in both))
+
+        play(scene)
+
+
 class LossTest(unittest.TestCase):
     def test_a_silent_carrier_loses_its_items(self) -> None:
         async def scene(world: World, client: Client) -> None:
--- a/tests/proxy/test_runner.py
+++ b/tests/proxy/test_runner.py
@@ -12,10 +12,12 @@
 from otterreach.jobstore.placement import RUNNER_SLOTS_SHARE, partition_of
 from otterreach.proxy.item_placement import ROUTE_GONE_S
 from otterreach.proxy.item_queue import ITEMS_PER_CORE
+from otterreach.proxy.item_return import RETURN_AFTER_S, RETURN_TEXT_AFTER_S
 from otterreach.proxy.item_run import Phase
 from otterreach.proxy.ping_schedule import LONG_INTERVAL_S, SHORT_INTERVAL_S
 from otterreach.proxy.runner import Runner
 from otterreach.proxy.send_permission import MAX_ENDED_JOBS, SendPermission
+from otterreach.proxy.text_generation import FIRST_EVENT_TIMEOUT_S
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.rpc import Endpoint, Link
 from tests import virtual
@@ -51,7 +53,8 @@
         list_job_store_node(self.world)
         self.world.fronts(1)
         self.endpoint = FakeEndpoint()
-        self.runner = Runner(self.world.fleet, self.endpoint, settings())
+        self.state_age_s = 0.0
+        self.runner = Runner(self.world.fleet, self.endpoint, settings(), lambda: self.state_age_s)
         self.loop = self.world.loop
         self.tasks = [asyncio.ensure_future(w) for w in (self.runner.directory.run(), self.runner.watch())]
 
@@ -559,6 +562,106 @@
         self.assertEqual(self.pings(stage)[-1].slots, 0)
 
 
+class Returned(unittest.TestCase):
+    """An item that no server can be reached for goes back, so that another proxy may run it; all others wait."""
+
+    @staticmethod
+    def returned(stage: Stage) -> list[tuple[str, bool]]:
+        messages = [m for m in stage.endpoint.to.sent if isinstance(m, ReturnItems)]
+        return [(item, message.out_of_reach) for message in messages for item in message.items]
+
+    @staged()
+    async def test_unreachable_servers(self, stage: Stage) -> None:
+        stage.world.fronts(3)
+        for n in range(3):
+            stage.server(f"i-{n}", serve).refuses = True
+        stage.runner.assign(assign([work()]))
+        await asyncio.sleep(RETURN_AFTER_S - 0.1)
+        self.assertEqual(self.returned(stage), [])
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.returned(stage), [("i1", True)])
+        self.assertEqual(stage.runner.runs, {})
+
+    @staged()
+    async def test_servers_that_take_connections_and_say_nothing(self, stage: Stage) -> None:
+        """As on paths that are cut silently: the attempt ends late, and the next one has to be the last here."""
+        stage.world.fronts(3)
+        for n in range(3):
+            stage.server(f"i-{n}", silence)
+        stage.runner.assign(assign([work()]))
+        await asyncio.sleep(2 * FIRST_EVENT_TIMEOUT_S + 1.5)
+        self.assertEqual(self.returned(stage), [("i1", True)])
+
+    @staged()
+    async def test_the_only_proxy_keeps_it(self, stage: Stage) -> None:
+        server = stage.server("i-1", writes(1))
+        server.refuses = True
+        stage.runner.assign(assign([work()]))
+        await asyncio.sleep(4.0)
+        self.assertEqual(self.returned(stage), [])
+        server.refuses = False
+        self.assertEqual((await stage.result()).state, "done")
+
+    @staged()
+    async def test_full_servers_are_waited_for(self, stage: Stage) -> None:
+        stage.world.fronts(3)
+        stage.server("i-1", turn_away)
+        stage.runner.assign(assign([work()]))
+        await asyncio.sleep(6.0)
+        self.assertEqual(self.returned(stage), [])
+
+    @staged()
+    async def test_a_version_that_no_server_has_is_waited_for(self, stage: Stage) -> None:
+        stage.world.fronts(3)
+        stage.server("i-1", writes(1), version=1)
+        stage.runner.assign(assign([work()], min_version=2))
+        await asyncio.sleep(6.0)
+        self.assertEqual(self.returned(stage), [])
+
+    @staged()
+    async def test_but_not_by_a_proxy_whose_state_is_old(self, stage: Stage) -> None:
+        stage.world.fronts(3)
+        stage.server("i-1", writes(1), version=1)
+        stage.state_age_s = 5.0
+        stage.runner.assign(assign([work()], min_version=2))
+        await asyncio.sleep(RETURN_AFTER_S + 0.2)
+        self.assertEqual(self.returned(stage), [("i1", True)])
+
+    @staged()
+    async def test_a_stuck_item_holds_up_none_of_another_need(self, stage: Stage) -> None:
+        stage.world.fronts(3)
+        server = stage.server("i-1", writes(1), version=1)
+        stage.runner.assign(assign([work("new")], "j1", min_version=2, left_ms=100))
+        stage.runner.assign(assign([work("old")], "j2", min_version=1, left_ms=9000))
+        await stage.result()
+        self.assertEqual([call.id for call in server.calls], ["old"])
+
+    @staged(single=True)
+    async def test_a_text_goes_back_later_and_only_if_its_servers_are_gone(self, stage: Stage) -> None:
+        stage.world.fronts(3)
+        server = stage.server("i-1", writes(5, until=2))
+        stage.runner.assign(assign([work()]))
+        await asyncio.sleep(0.05)
+        server.refuses = True
+        await asyncio.sleep(RETURN_AFTER_S + 0.3)
+        self.assertEqual(self.returned(stage), [])
+        await asyncio.sleep(RETURN_TEXT_AFTER_S - RETURN_AFTER_S + 0.3)
+        self.assertEqual(self.returned(stage), [("i1", True)])
+
+    @staged()
+    async def test_after_a_while_an_item_is_not_bound_by_the_share(self, stage: Stage) -> None:
+        """Four proxies may run items, and the other three run none: the server must not stay a quarter full."""
+        server = stage.server("i-1", silence, cap=32)
+        stage.world.fronts(4)
+        await asyncio.sleep(0)
+        stage.runner.fleet.set_runner_count(8)
+        stage.runner.assign(assign([work(f"i{n}") for n in range(10)]))
+        await asyncio.sleep(1.0)
+        self.assertEqual(len(server.calls), 5)
+        await asyncio.sleep(1.4)
+        self.assertEqual(len(server.calls), 10)
+
+
 class Permission(unittest.TestCase):
     @staged()
     async def test_ended_batch_jobs_are_remembered_up_to_a_bound(self, stage: Stage) -> None:
