Servers: a late first heartbeat displaces no living server at its address

Cause: a heartbeat of a server that isn't known removed whatever stood at its address. Where it was the late first call of a server that had ended long ago, the living one was removed, and an id that is removed never comes back.

Change: a registration at the address of a server that was heard within 1.2 heartbeat intervals gets 503, with a log line. A new server calls again, and by then the former one is silent.

Result: two tests that fail without it; the controller API's tests pass.

--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -13,7 +13,7 @@
 from otterreach.controller.api.configuration import ConfigurationResource
 from otterreach.controller.api.resource import NOT_FOUND, UNAVAILABLE, Resource, last_segment
 from otterreach.controller.api.retirement import RetirementResource
-from otterreach.controller.api.servers import ServerResource, merge_heartbeat, read_heartbeat
+from otterreach.controller.api.servers import ServerHeartbeats, ServerResource, merge_heartbeat, read_heartbeat
 from otterreach.controller.api.versions import VersionResource
 from otterreach.controller.messages import ApiCall, ApiResponse
 from otterreach.controller.planner import StoreMembers
@@ -53,16 +53,16 @@
         control: ControlReplication,
         follower: Follower,
         stores: Callable[[], StoreMembers | None],
-        record_server_heartbeat: Callable[[str], None],
+        heartbeats: ServerHeartbeats,
     ) -> None:
         """:param stores: the job store nodes that are alive; None while that is not known."""
         self.control = control
         self.follower = follower
-        self.record_server_heartbeat = record_server_heartbeat
+        self.heartbeats = heartbeats
         published = follower.store
         self.resources: dict[str, Resource] = {
             CONFIGURATION: ConfigurationResource(control, published),
-            SERVERS: ServerResource(control),
+            SERVERS: ServerResource(control, heartbeats, settings.heartbeat_s),
             VERSIONS: VersionResource(control),
             RETIREMENTS: RetirementResource(control, published, stores, limits_of(settings)),
         }
@@ -80,7 +80,7 @@
         if name not in self.resources:
             return Reply(404)
         if name == SERVERS:
-            self.record_server_heartbeat(last_segment(call.path))
+            self.heartbeats.record_server_heartbeat(last_segment(call.path))
             if self._is_known_heartbeat(call):
                 return Reply(200, b"{}")
         answer = await (self._decide(call) if self.control.is_primary else self._forward(call))
@@ -129,7 +129,7 @@
         if not self.control.is_primary:
             return self.control.not_primary()
         if _resource_name(call) == SERVERS:
-            self.record_server_heartbeat(last_segment(call.path))
+            self.heartbeats.record_server_heartbeat(last_segment(call.path))
         return await self._decide(call)
 
 
--- a/otterreach/controller/api/servers.py
+++ b/otterreach/controller/api/servers.py
@@ -1,13 +1,15 @@
 """PUT and DELETE /servers/ID: a server's heartbeats and its end.
 
 An id is one incarnation of a server: up, then draining, then gone, and never back. Calls may come seconds late and in
-any order; `calls`, which rises with each call of an incarnation, tells which of two is the newer.
+any order; `calls`, which rises with each call of an incarnation, tells which of two is the newer. Of two incarnations
+at one address the living one stays: that is told by its heartbeats.
 """
 
 from __future__ import annotations
 
 import json
 from dataclasses import replace
+from typing import Protocol
 
 from otterreach.controller.api.resource import (
     METHOD_NOT_ALLOWED,
@@ -24,7 +26,6 @@
 from otterreach.runtime.integers import bounded_integer
 from otterreach.runtime.log import log
 from otterreach.runtime.records import (
-    ItemChange,
     ModelVersion,
     ServerRecord,
     ServerState,
@@ -33,6 +34,8 @@
     put,
 )
 
+ALIVE_INTERVALS = 1.2  # of a server's heartbeats: heard within this it is taken to be alive
+
 
 def read_heartbeat(body: bytes) -> ServerRecord | Failure:
     """What is kept of a heartbeat; CONFIG_FIELD if it can't be read."""
@@ -81,11 +84,23 @@
     return known == replace(heartbeat, warmup_left_ms=known.warmup_left_ms, calls=known.calls, silent=known.silent)
 
 
+class ServerHeartbeats(Protocol):
+    """What is known of the servers' heartbeats."""
+
+    def record_server_heartbeat(self, server: str) -> None:
+        """One has just arrived."""
+
+    def seconds_since_server_heartbeat(self, server: str) -> float:
+        """How long a server has been silent."""
+
+
 class ServerResource:
     """Registrations of servers."""
 
-    def __init__(self, control: ControlState) -> None:
+    def __init__(self, control: ControlState, heartbeats: ServerHeartbeats, heartbeat_interval_s: float) -> None:
         self.control = control
+        self.heartbeats = heartbeats
+        self.alive_s = heartbeat_interval_s * ALIVE_INTERVALS
 
     async def handle(self, call: ApiCall) -> ApiResponse:
         """Answer a call, at the primary."""
@@ -116,16 +131,26 @@
         record = None if is_gone else merge_heartbeat(known, heartbeat)
         if record is None:
             return await when_committed(self.control, OK)
-        done = await write(self.control, [*self._former_at(record.address, server), put(record, server)])
+        former = self._former_at(record.address, server)
+        if known is None and any(self._is_alive(other) for other in former):
+            log("server_address_taken", server=server, address=record.address, holders=",".join(former))
+            return UNAVAILABLE
+        changes = [*(delete(ServerRecord, other) for other in former), put(record, server)]
+        done = await write(self.control, changes)
         if known is None or known.state != record.state:
             log("server", server=server, state=record.state, service=record.service, done=done)
         return OK if done else UNAVAILABLE
 
-    def _former_at(self, address: str, server: str) -> list[ItemChange]:
-        """Other servers at this address are gone, whether they said so or not."""
+    def _former_at(self, address: str, server: str) -> list[str]:
+        """Other servers at this address: they are gone, whether they said so or not."""
         servers = self.control.state.records(ServerRecord)
-        return [
-            delete(ServerRecord, other)
-            for other, record in servers.items()
-            if record.address == address and other != server
-        ]
+        return [other for other, record in servers.items() if record.address == address and other != server]
+
+    def _is_alive(self, server: str) -> bool:
+        """Whether it was heard a moment ago.
+
+        Danger: the first heartbeat of a server that has long ended may come late, when the next one is at its
+        address. An id that is removed never comes back, so the living one would be lost for good. One that really is
+        new calls again, and by then the former is silent.
+        """
+        return self.heartbeats.seconds_since_server_heartbeat(server) < self.alive_s
--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -53,9 +53,7 @@
         self.placement = PartitionPlacement(endpoint, self.control, self.stores, limits, clock)
         self.servers = ServerRegistry(settings, endpoint, self.control, self.detector)
         self.leases = OrderLeases(settings, endpoint, self.control, self.members, clock)
-        self.api = ApiRouter(
-            settings, self.control, node.follower, self._stores_once_stable, self.detector.record_server_heartbeat
-        )
+        self.api = ApiRouter(settings, self.control, node.follower, self._stores_once_stable, self.detector)
         self.server = JsonServer(self.api.handle)
         self._stable_from = 0.0  # from then on silence means something
 
--- a/tests/controller/control_api_support.py
+++ b/tests/controller/control_api_support.py
@@ -20,6 +20,22 @@
 REVISIONS_IN_TERM = 1000
 ROUTE = {"name": "r", "host": "h.example", "prefix": "/p/", "kind": "idem", "timeoutMs": 1, "backend": "b"}
 
+HEARTBEAT_S = 1.0  # between two heartbeats of a server
+
+
+class StagedHeartbeats:
+    """Servers are silent but for those that a test says were heard."""
+
+    def __init__(self) -> None:
+        self.heard: list[str] = []
+        self.silence_s: dict[str, float] = {}
+
+    def record_server_heartbeat(self, server: str) -> None:
+        self.heard.append(server)
+
+    def seconds_since_server_heartbeat(self, server: str) -> float:
+        return self.silence_s.get(server, 1e9)
+
 
 class StagedControl:
     """A primary whose writes wait until they are told to reach all copies, or that they don't."""
--- a/tests/controller/test_control_api_resources.py
+++ b/tests/controller/test_control_api_resources.py
@@ -14,7 +14,16 @@
 from otterreach.controller.planner import StoreMembers
 from otterreach.controller.survival import FailureDomain, SurviveLimits
 from otterreach.runtime.records import ModelVersion, RetirementRecord, ServerRecord, ServerState, VersionRecord
-from tests.controller.control_api_support import Case, StagedControl, deregistration, heartbeat, settle, statuses
+from tests.controller.control_api_support import (
+    HEARTBEAT_S,
+    Case,
+    StagedControl,
+    StagedHeartbeats,
+    deregistration,
+    heartbeat,
+    settle,
+    statuses,
+)
 
 
 class VersionTest(Case):
@@ -142,7 +151,7 @@
         control = StagedControl()
 
         async def scene() -> None:
-            resource = ServerResource(control)
+            resource = ServerResource(control, StagedHeartbeats(), HEARTBEAT_S)
             for call in calls:
                 await self.expect(resource, call, 200)
 
@@ -176,6 +185,34 @@
         control = self.scene(heartbeat("a", 1), heartbeat("b", 1), heartbeat("a", 2))
         self.assertEqual(["b"], list(control.state.records(ServerRecord)))
 
+    def test_a_late_first_heartbeat_displaces_no_living_server(self) -> None:
+        """Of a server that ended before any of its heartbeats came; the next one is at its address."""
+
+        async def scene() -> None:
+            control, heartbeats = StagedControl(), StagedHeartbeats()
+            resource = ServerResource(control, heartbeats, HEARTBEAT_S)
+            await self.expect(resource, heartbeat("b", 1), 200)
+            heartbeats.silence_s["b"] = HEARTBEAT_S
+            await self.expect(resource, heartbeat("a", 1), 503)
+            self.assertEqual(["b"], list(control.state.records(ServerRecord)))
+            await self.expect(resource, heartbeat("b", 2, gen=9), 200)
+            self.assertEqual((ModelVersion("m", 9),), server_of(control, "b").models)
+
+        self.play(scene)
+
+    def test_the_next_one_is_taken_once_the_former_is_silent(self) -> None:
+        async def scene() -> None:
+            control, heartbeats = StagedControl(), StagedHeartbeats()
+            resource = ServerResource(control, heartbeats, HEARTBEAT_S)
+            await self.expect(resource, heartbeat("a", 1), 200)
+            heartbeats.silence_s["a"] = 0.1
+            await self.expect(resource, heartbeat("b", 1), 503)
+            heartbeats.silence_s["a"] = 2 * HEARTBEAT_S
+            await self.expect(resource, heartbeat("b", 2), 200)
+            self.assertEqual(["b"], list(control.state.records(ServerRecord)))
+
+        self.play(scene)
+
     def test_nothing_new_writes_nothing(self) -> None:
         once = self.scene(heartbeat("a", 1))
         often = self.scene(*(heartbeat("a", n) for n in range(1, 9)))
@@ -184,7 +221,7 @@
     def test_a_repeat_waits_for_the_first(self) -> None:
         async def scene() -> None:
             control = StagedControl(instant=False)
-            resource = ServerResource(control)
+            resource = ServerResource(control, StagedHeartbeats(), HEARTBEAT_S)
             calls = [
                 heartbeat("a", 1),
                 heartbeat("a", 1),
@@ -203,8 +240,9 @@
     def test_unreadable(self) -> None:
         async def scene() -> None:
             control = StagedControl()
+            resource = ServerResource(control, StagedHeartbeats(), HEARTBEAT_S)
             for data in (b"", b"{}", b"[]", b'{"state":"up"}'):
-                await self.expect(ServerResource(control), ApiCall("PUT", "/servers/a", "", data), 400)
+                await self.expect(resource, ApiCall("PUT", "/servers/a", "", data), 400)
             self.assertEqual(0, control.state.revision)
 
         self.play(scene)
--- a/tests/controller/test_control_api_router.py
+++ b/tests/controller/test_control_api_router.py
@@ -13,7 +13,7 @@
 from otterreach.runtime.codes import Code
 from otterreach.runtime.store import ReplicatedStore
 from otterreach.sidecar import http1
-from tests.controller.control_api_support import Case, StagedControl, heartbeat, put
+from tests.controller.control_api_support import HEARTBEAT_S, Case, StagedControl, StagedHeartbeats, heartbeat, put
 
 
 class Follower:
@@ -26,10 +26,11 @@
 
 class RouterTest(Case):
     def stage(self, control: StagedControl) -> tuple[ApiRouter, Follower, list[str]]:
-        settings: Any = type("Settings", (), {"survive_nodes": 1, "survive_zones": 0, "survive_regions": 0})
-        follower, heard = Follower(control.published), list[str]()
+        values = {"survive_nodes": 1, "survive_zones": 0, "survive_regions": 0, "heartbeat_s": HEARTBEAT_S}
+        settings: Any = type("Settings", (), values)
+        follower, heartbeats = Follower(control.published), StagedHeartbeats()
         parts: Any = control, follower
-        return ApiRouter(settings, parts[0], parts[1], lambda: StoreMembers({}), heard.append), follower, heard
+        return ApiRouter(settings, parts[0], parts[1], lambda: StoreMembers({}), heartbeats), follower, heartbeats.heard
 
     def request(self, call: ApiCall) -> http1.Request:
         headers = {b"if-match": call.match.encode()}
