Items: counts of failures go along with returned items; stored numbers are clamped

Cause: a returned item began anew with its answers of 500, so with each proxy servers got it more often than its route allows. And a batch job stored by an earlier version with a number beyond 64 bits stopped all assignments of its node: the message could not be encoded.

Change: ReturnItems and WorkItem carry the count (new fields at their ends); the dispatcher keeps the highest. Numbers are clamped where they enter a message. A count is still lost with the proxy that has it.

--- a/otterreach/jobstore/dispatcher.py
+++ b/otterreach/jobstore/dispatcher.py
@@ -15,10 +15,11 @@
 from otterreach.jobstore.free_proxies import FreeProxies
 from otterreach.jobstore.job import ItemState, Job, JobItem, JobState
 from otterreach.jobstore.job_routes import JobDeadlines
-from otterreach.jobstore.messages import AssignItems, CancelJob, ProxyPing, WorkItem
+from otterreach.jobstore.messages import AssignItems, CancelJob, ProxyPing, ReturnItems, WorkItem
 from otterreach.jobstore.partition_replica import PartitionReplica
 from otterreach.jobstore.placement import partition_of
-from otterreach.jobstore.proxy_sessions import AssignedItem, ProxySession, ProxySessions, SessionState
+from otterreach.jobstore.proxy_sessions import AssignedItem, ItemKey, ProxySession, ProxySessions, SessionState
+from otterreach.runtime.integers import clamped_integer
 from otterreach.runtime.log import log
 from otterreach.runtime.rpc import Link
 
@@ -171,29 +172,30 @@
             assigned = session.items.pop(key)
             self._return_item(assigned.job, assigned.item)
 
-    def items_returned(self, node: str, job_id: str, items: list[str]) -> None:
-        """A proxy will not run these; it gets nothing until it has pinged again."""
-        session = self.sessions.by_node.get(node)
-        if session is None:
-            return
-        session.slots = 0
-        self._take_back(session, job_id, items)
+    def items_returned(self, node: str, message: ReturnItems) -> None:
+        """A proxy will not run these.
 
-    def items_out_of_reach(self, node: str, job_id: str, items: list[str]) -> None:
-        """A proxy reached no server for these: others get the items of this model for a while."""
+        One that reached no server for them gets no others of this model for a while; any other gets nothing until it
+        has pinged again.
+        """
         session = self.sessions.by_node.get(node)
-        job = self.open_jobs.get(job_id)
-        if session is None or job is None:
+        if session is None:
             return
-        log("items_out_of_reach", proxy=node, job=job_id, items=len(items))
-        self._blocks.add(node, job.model, self.now())
-        self._take_back(session, job_id, items)
-
-    def _take_back(self, session: ProxySession, job_id: str, items: list[str]) -> None:
-        for item_id in items:
-            assigned = session.items.pop((job_id, item_id), None)
-            if assigned:
-                self._return_item(assigned.job, assigned.item)
+        job = self.open_jobs.get(message.job)
+        if not message.out_of_reach:
+            session.slots = 0
+        elif job is not None:
+            log("items_out_of_reach", proxy=node, job=job.id, items=len(message.items))
+            self._blocks.add(node, job.model, self.now())
+        failures = dict(zip(message.items, message.failures, strict=False))  # none from a proxy of an earlier version
+        for item_id in message.items:
+            self._take_back(session, (message.job, item_id), failures.get(item_id, 0))
+
+    def _take_back(self, session: ProxySession, key: ItemKey, failures: int) -> None:
+        assigned = session.items.pop(key, None)
+        if assigned:
+            assigned.item.failures = max(assigned.item.failures, failures)
+            self._return_item(assigned.job, assigned.item)
 
     def item_runs_at(self, node: str, job: Job, item_id: str) -> None:
         """A proxy says that it has this item."""
@@ -297,7 +299,7 @@
             job=job.id,
             host=job.host,
             model=job.model,
-            min_version=job.min_version,
+            min_version=clamped_integer(job.min_version),
             left_ms=int(left_s * 1000),
             wait_ms=int(wait_s * 1000),
             items=[_work_item(item) for item in items],
@@ -311,9 +313,10 @@
         headers=item.headers,
         body=item.body,
         group=item.group,
-        tokens=item.tokens,
+        tokens=clamped_integer(item.tokens),
         scorer_id=item.scorer_id,
         scorer_host=item.scorer_host,
         scorer_path=item.scorer_path,
         scorer_body=item.scorer_body,
+        failures=item.failures,
     )
--- a/otterreach/jobstore/item_requests.py
+++ b/otterreach/jobstore/item_requests.py
@@ -133,7 +133,4 @@
 
     async def handle_returned(self, link: Link, message: ReturnItems) -> None:
         """A proxy will not run some items."""
-        if message.out_of_reach:
-            self.dispatcher.items_out_of_reach(link.peer, message.job, message.items)
-        else:
-            self.dispatcher.items_returned(link.peer, message.job, message.items)
+        self.dispatcher.items_returned(link.peer, message)
--- a/otterreach/jobstore/job.py
+++ b/otterreach/jobstore/job.py
@@ -42,6 +42,7 @@
     order: tuple[int, int] = (0, 0)  # puts whole groups behind each other, in the order of the batch job
     state: ItemState = ItemState.PENDING
     index: int = 0  # of the record that listed it
+    failures: int = 0  # answers of 500 that proxies have told of; the primary's own
 
     @property
     def size(self) -> int:
--- a/otterreach/jobstore/messages.py
+++ b/otterreach/jobstore/messages.py
@@ -119,6 +119,7 @@
     scorer_host: str
     scorer_path: str
     scorer_body: bytes
+    failures: int = 0  # how often servers have answered it by a 500, as far as is known
 
 
 @message(68)
@@ -175,6 +176,7 @@
     job: str
     items: list[str]
     out_of_reach: bool = False  # the proxy reached no server for them: others may
+    failures: list[int] = field(default_factory=list)  # of each item: how often servers answered it by a 500
 
 
 @message(72)
--- a/otterreach/proxy/item_reports.py
+++ b/otterreach/proxy/item_reports.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Any
 
 from otterreach.jobstore.messages import ItemFinished, ReturnItems, RunningItems
@@ -51,11 +51,15 @@
         items = [f"{run.job} {run.item}" for run in runs if partition_of(run.job) == part]
         self._send(address, RunningItems(part, self.node, items))
 
-    def return_items(self, job: str, items: list[str], out_of_reach: bool = False) -> None:
-        """Another proxy may run them. `out_of_reach`: this one could reach no server for them."""
+    def return_items(self, job: str, failures: Mapping[str, int], out_of_reach: bool = False) -> None:
+        """Another proxy may run these items of a batch job.
+
+        :param failures: how often each has failed, by item
+        :param out_of_reach: this proxy could reach no server for them
+        """
         address = self.directory.address_of(job)
-        if address and items:
-            self._send(address, ReturnItems(job, items, out_of_reach))
+        if address and failures:
+            self._send(address, ReturnItems(job, list(failures), out_of_reach, list(failures.values())))
 
     def _send(self, address: str, message: Any) -> None:
         self.endpoint.spawn(self._send_over_link(address, message))
--- a/otterreach/proxy/item_run.py
+++ b/otterreach/proxy/item_run.py
@@ -81,7 +81,7 @@
         self.task: asyncio.Task[None] | None = None
         self.placement: Placement | Abandoned | None = None
         self.next_server: asyncio.Future[None] | None = None  # of one that waits for its next server
-        self.failures = 0  # answers of 500
+        self.failures = max(0, work.failures)  # answers of 500, also at proxies that had it before
         self.reward_failures = 0
         self.retries = 0  # since something was last generated
         self.left_server_at = now  # since then it has been at no server
--- a/otterreach/proxy/runner.py
+++ b/otterreach/proxy/runner.py
@@ -76,7 +76,7 @@
         if is_outdated or self._permission.has_ended(assign.job):
             return
         if self.queue.shutting_down:
-            self._reports.return_items(assign.job, [work.item for work in assign.items])
+            self._reports.return_items(assign.job, {work.item: work.failures for work in assign.items})
             return
         now = self.loop.time()
         for work in assign.items:
@@ -115,7 +115,7 @@
     def return_item(self, run: ItemRun) -> None:
         """No server could be reached for it from here."""
         log("item_returned", job=run.job, item=run.item, attempts=run.unreachable)
-        self._reports.return_items(run.job, [run.item], out_of_reach=True)
+        self._reports.return_items(run.job, {run.item: run.failures}, out_of_reach=True)
         self.queue.drop(run)
 
     async def _work(self, run: ItemRun) -> None:
@@ -130,7 +130,7 @@
             await self._reports.report_result(run, reason or reward.reason, reward.score)
         except Exception as error:  # a fault with one item ends it here, not the process; another proxy may do
             log("item_failed", level="ERROR", job=run.job, item=run.item, error=repr(error))
-            self._reports.return_items(run.job, [run.item])
+            self._reports.return_items(run.job, {run.item: run.failures})
         finally:
             self.queue.change_phase(run, Phase.DONE)
 
@@ -143,15 +143,15 @@
         while self.runs and self.loop.time() < end:
             await asyncio.sleep(SHUTDOWN_CHECK_S)
         for run in list(self.runs.values()):
-            self._reports.return_items(run.job, [run.item])
+            self._reports.return_items(run.job, {run.item: run.failures})
             self.queue.drop(run)
         await asyncio.sleep(SHUTDOWN_CHECK_S)  # for what was sent to leave
 
     def _return_queued(self) -> None:
         """What has not begun, a message for each batch job."""
-        queued: dict[str, list[str]] = {}
+        queued: dict[str, dict[str, int]] = {}
         for run in [run for run in self.runs.values() if run.phase is Phase.QUEUED and run.task is None]:
-            queued.setdefault(run.job, []).append(run.item)
+            queued.setdefault(run.job, {})[run.item] = run.failures
             self.queue.change_phase(run, Phase.DONE)
         for job, items in queued.items():
             self._reports.return_items(job, items)
--- a/otterreach/runtime/integers.py
+++ b/otterreach/runtime/integers.py
@@ -5,6 +5,11 @@
 MAX_INTEGER = 2**63 - 1
 
 
+def clamped_integer(value: int) -> int:
+    """The nearest whole number that messages hold. For what was stored before its numbers were bounded."""
+    return max(-MAX_INTEGER, min(MAX_INTEGER, value))
+
+
 def bounded_integer(value: str | float) -> int:
     """A whole number from what a document holds; a fraction is cut off.
 
--- a/tests/compatibility/test_messages.py
+++ b/tests/compatibility/test_messages.py
@@ -46,7 +46,8 @@
 # table -> the fields that it got since, at its end, in order; their defaults leave the bytes as they were
 ADDED_FIELDS: dict[str, list[str]] = {
     "ProxyPing": ["interval_ms"],
-    "GiveBack": ["out_of_reach"],
+    "GiveBack": ["out_of_reach", "failures"],
+    "Work": ["failures"],
 }
 
 
--- a/tests/jobstore/test_dispatch.py
+++ b/tests/jobstore/test_dispatch.py
@@ -148,6 +148,56 @@
 
         play(scene)
 
+    def test_the_count_of_failures_goes_along(self) -> None:
+        """However many proxies have an item in turn, servers get it no more often than its route allows."""
+
+        async def scene(world: World, client: Client) -> None:
+            first, second = await proxies(world, 2, slots=6, run_s=None)
+            await client.submit("a", body=lot("a", 2, 1))
+            await asyncio.sleep(0.1)
+            ((job, item),) = first.works
+            del first.works[job, item]
+            link = await first.endpoint.link(world.primary_of("a").address)
+            assert not isinstance(link, Failure)
+            link.send(ReturnItems(job, [item], True, [2, 7]))  # one count too many
+            await asyncio.sleep(0.1)
+            self.assertEqual(2, second.works[job, item].failures)
+
+        play(scene)
+
+    def test_a_return_of_an_earlier_version_tells_no_count(self) -> None:
+        async def scene(world: World, client: Client) -> None:
+            first, second = await proxies(world, 2, slots=6, run_s=None)
+            await client.submit("a", body=lot("a", 2, 1))
+            await asyncio.sleep(0.1)
+            ((job, item),) = first.works
+            await self.give_back(first, world, "a")
+            self.assertEqual(0, second.works[job, item].failures)
+
+        play(scene)
+
+    def test_a_stored_number_beyond_64_bits_stops_nobody(self) -> None:
+        """An earlier version accepted it, and its journal still holds it."""
+
+        async def scene(world: World, client: Client) -> None:
+            (runner,) = await proxies(world, 1, slots=8, run_s=None)
+            await client.submit("a", body=lot("a", 3, 1))
+            other = next(f"b{n}" for n in range(99) if partition_of(f"b{n}") == partition_of("a"))
+            job = world.primary_of("a").store_node.dispatcher.open_jobs["a"]
+            runner.pinging = False
+            await asyncio.sleep(1.5)  # lost: all items are pending again
+            runner.works.clear()
+            job.head["minVersion"] = 2**70
+            job.items["a-1"].tokens = -(2**70)
+            await client.submit(other, body=lot(other, 2, 1))
+            runner.pinging = True
+            await asyncio.sleep(1.0)
+            self.assertEqual({"a", other}, {name for name, _ in runner.works})
+            self.assertEqual(5, len(runner.works))
+            self.assertEqual(-(2**63 - 1), runner.works["a", "a-1"].tokens)
+
+        play(scene)
+
     def test_a_job_that_has_moved_or_ended_is_not_touched(self) -> None:
         async def scene(world: World, client: Client) -> None:
             first, second = await proxies(world, 2, slots=6, run_s=None)
--- a/tests/proxy/test_runner.py
+++ b/tests/proxy/test_runner.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from math import ceil
 from typing import Any
 
@@ -662,6 +663,30 @@
         self.assertEqual(len(server.calls), 10)
 
 
+class Failures(unittest.TestCase):
+    @staged(tries=3)
+    async def test_those_at_earlier_proxies_count(self, stage: Stage) -> None:
+        server = stage.server("i-1", fail)
+        stage.runner.assign(assign([replace(work(), failures=2)]))
+        result = await stage.result()
+        self.assertEqual((result.state, result.reason), ("errored", "failed"))
+        self.assertEqual(len(server.calls), 1)
+
+    @staged(tries=3)
+    async def test_a_returned_item_takes_its_count_along(self, stage: Stage) -> None:
+        stage.world.fronts(2)
+
+        async def fail_once(call: Call) -> None:
+            call.server.refuses = True
+            await fail(call)
+
+        stage.server("i-1", fail_once)
+        stage.runner.assign(assign([work()]))
+        await asyncio.sleep(RETURN_AFTER_S + 1.0)
+        (message,) = [m for m in stage.endpoint.to.sent if isinstance(m, ReturnItems)]
+        self.assertEqual((message.items, message.failures), (["i1"], [1]))
+
+
 class Permission(unittest.TestCase):
     @staged()
     async def test_ended_batch_jobs_are_remembered_up_to_a_bound(self, stage: Stage) -> None:
