Proxies: long interval of pings 2 s; weight orders are looked at on changes

Cause: in a profile of 24 proxies, 9 job store nodes and little traffic each proxy woke some 110 times a second; ten of these looked for weight orders although no lease was here, and pings to nodes that it had nothing of were the most.

Change: the long interval is 2 s. Weight orders wait for a change of servers, versions or leases, and look ten times a second only while loads are due here; a backstop looks once a second.

--- a/otterreach/proxy/orders.py
+++ b/otterreach/proxy/orders.py
@@ -11,6 +11,7 @@
 import asyncio
 import zlib
 from collections.abc import Mapping
+from contextlib import suppress
 from dataclasses import dataclass, field
 
 from otterreach.proxy.messages import LeaseRelease, ModelLoaded
@@ -19,8 +20,11 @@
 from otterreach.runtime.log import log
 from otterreach.runtime.node import Node
 from otterreach.runtime.records import OrderLeaseRecord, ServerRecord, VersionRecord, key_of
+from otterreach.runtime.store import Item
 
-STEP_INTERVAL_S = 0.1
+STEP_INTERVAL_S = 0.1  # between two looks while loads are due here
+SETTLE_S = 0.05  # after a change of the control state: more changes follow within this
+IDLE_STEP_S = 1.0  # between two looks while nothing is due here and nothing changes
 LEASE_S = 1.5  # how old the holder's replica may be when it sends an order
 MARGIN_S = 0.3
 REPORT_INTERVAL_S = 0.2  # between two looks at a server that loads
@@ -113,6 +117,7 @@
         self._orders_accepted: dict[str, int | None] = {}  # by server, as it last reported them
         self._rejected_fences: dict[str, int] = {}  # by server: a fence of ours that it refused as too low
         self._known = KnownState()
+        self._changed = asyncio.Event()
 
     # Leases --------------------------------------------------------------------------------------
 
@@ -138,11 +143,28 @@
 
     async def run(self) -> None:
         """Start what is due; for ever."""
+        for kind in (ServerRecord, VersionRecord, OrderLeaseRecord):
+            self.store.watch(kind, self._on_change)
+        self._changed.set()  # for what is there already
         while True:
-            await asyncio.sleep(STEP_INTERVAL_S)
+            if self._known.leased and self._known.due:
+                await asyncio.sleep(STEP_INTERVAL_S)
+            else:
+                await self._wait_for_change()
             if self.store.revision:
                 self.step()
 
+    def _on_change(self, item: Item) -> None:
+        self._changed.set()
+
+    async def _wait_for_change(self) -> None:
+        """Most proxies have no lease most of the time: a look ten times a second would cost them a wake-up each."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_STEP_S):
+                await self._changed.wait()
+        await asyncio.sleep(SETTLE_S)
+        self._changed.clear()
+
     def step(self) -> None:
         """Start the loads whose turn it is here."""
         if self._known.revision != self.store.revision:
--- a/otterreach/proxy/ping_schedule.py
+++ b/otterreach/proxy/ping_schedule.py
@@ -12,7 +12,7 @@
 from random import Random
 
 SHORT_INTERVAL_S = 0.25
-LONG_INTERVAL_S = 1.0
+LONG_INTERVAL_S = 2.0
 LONG_INTERVAL_SPREAD = 0.3  # of it: not all proxies ping at the same moment
 LOAD_CHANGE_SHARE = 0.25  # of the slots: a change that other nodes are told at the short interval
 TICK_TOLERANCE_S = SHORT_INTERVAL_S / 2  # the schedule is read at ticks, which come a little early or late
--- a/tests/proxy/test_orders.py
+++ b/tests/proxy/test_orders.py
@@ -10,7 +10,7 @@
 from typing import Any
 from unittest import mock
 
-from otterreach.proxy.orders import LEASE_S, MARGIN_S, WeightOrders, due_loads, takeover_wait_s
+from otterreach.proxy.orders import LEASE_S, MARGIN_S, SETTLE_S, WeightOrders, due_loads, takeover_wait_s
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.http import Reply
 from otterreach.runtime.http_client import NO_HEADERS
@@ -115,6 +115,21 @@
             [(a, o["gen"], o["fence"], o["owner"]) for a, o in self.servers.orders], [("127.0.0.1:1", 2, 4, "front-1")]
         )
 
+    def test_without_loads_that_are_due_here_it_hardly_looks(self) -> None:
+        self.put("server/a", server(1))
+        self.put("version/m", {"gen": 2})
+        self.put("duty/a", {"holder": "front-2", "wait_ms": 0})
+        with mock.patch.object(WeightOrders, "step") as step:
+            self.play(10.0)
+        self.assertLess(step.call_count, 12)
+
+    def test_a_version_that_is_named_later_is_ordered_at_once(self) -> None:
+        self.put("server/a", server(1))
+        self.put("duty/a", {"holder": "front-1", "wait_ms": 0})
+        self.loop.call_later(5.3, self.put, "version/m", {"gen": 2})
+        self.play(5.3 + SETTLE_S + 0.05)
+        self.assertEqual([order["gen"] for _, order in self.servers.orders], [2])
+
     def test_nothing_goes_out_under_an_old_copy_of_the_control_state(self) -> None:
         self.put("server/a", server(1))
         self.put("version/m", {"gen": 2})
--- a/tests/proxy/test_runner.py
+++ b/tests/proxy/test_runner.py
@@ -545,6 +545,8 @@
         """By then the last answer may be older than the time for which it holds."""
         server = stage.server("i-1", writes(1))
         await asyncio.sleep(3.0)
+        for owner in stage.runner.directory.owners.values():
+            owner.as_of -= 1.0
         stage.runner.directory.lease_s = 0.0001  # no earlier answer counts any more
         link: Any = Link(Endpoint(), JOB_STORE_NODE)
         before = len(self.pings(stage))
