--- a/otterreach/simulation/faults.py
+++ b/otterreach/simulation/faults.py
@@ -18,6 +18,7 @@
 
 KINDS = ("kill", "power", "freeze", "late_freeze", "cut", "one_way", "reset", "slow_link", "slow_disk")
 MORE_KINDS = (*KINDS, "stall_disk", "full_disk", "slow_machine")  # where there is a leader
+QUOTA = "quota"  # drawn for no seed: plans name it
 ON_DISKS = ("slow_disk", "stall_disk", "full_disk")
 CALM_S = 9.0  # syncS, and time for clients
 LEADER = "leader"  # in place of a name: the machine that leads when the fault begins
@@ -33,6 +34,9 @@
 # a slow machine: how long it stands still, and how often
 STILL_S = (0.01, 0.15)
 TURN_S = (0.05, 0.25)
+# a machine with a quota of its processor: it runs at the start of each period, then stands still
+QUOTA_PERIOD_S = 0.1
+QUOTA_RUNS_S = 0.01
 LEADER_SHARE = 0.3
 ZONE = "zone:"  # and the name of a zone, in place of a name: all controllers there
 LOSS_SHARE = 0.4
@@ -294,6 +298,9 @@
                 box.disk.room = len(box.disk.data) + ROOM_BYTES
             elif fault.kind == "slow_machine":
                 self._stutter(box, self.world.now + fault.for_s)
+            elif fault.kind == QUOTA:
+                begins_in = self.random.uniform(0.0, QUOTA_PERIOD_S)  # not all machines in step
+                self.world.plainly(begins_in, self._use_quota_up, box, self.world.now + fault.for_s)
         self._levels()
 
     def _end(self, planned: Fault) -> None:
@@ -330,6 +337,15 @@
             self.world.plainly(self.random.uniform(*STILL_S), self._go_on, box)
         self.world.plainly(self.random.uniform(*TURN_S), self._stutter, box, end)
 
+    def _use_quota_up(self, box: Box, end: float) -> None:
+        """The quota of a period is spent: the machine stands still until the next one."""
+        if self.world.now >= end:
+            return
+        if box.runs:
+            box.freeze(late=False)
+            self.world.plainly(QUOTA_PERIOD_S - QUOTA_RUNS_S, self._go_on, box)
+        self.world.plainly(QUOTA_PERIOD_S, self._use_quota_up, box, end)
+
     def _go_on(self, box: Box) -> None:
         if not any(f.kind in ("freeze", "late_freeze") and box.name in f.on for f in self.active):
             box.thaw()
