Figures of each process on a port of its own; repeated work without progress is counted

Cause: nothing told from outside what a process is busy with; 'too dear' and 'spins' look alike in processor time.

Change: each role answers GET /metrics on port 9464 by prometheus_client, which is imported at the first connection, as are the modules that collect the figures. RepeatedWork counts steps repeated at the same progress (attaching to a parent, elections, assignments of one item, weight orders) and logs no_progress at each doubling from 16 on. The programs stand in the roles' __main__.py.

--- a/otterreach/controller/__main__.py
+++ b/otterreach/controller/__main__.py
@@ -1,7 +1,41 @@
-"""python3 -m otterreach.controller: a controller, told by the settings file."""
+"""python3 -m otterreach.controller: a controller, configured by the settings file."""
+
+from __future__ import annotations
+
+from functools import partial
+from typing import TYPE_CHECKING
+
+from otterreach.controller.node import ControllerNode
+from otterreach.runtime.journal import Journal, open_journal
+from otterreach.runtime.metrics_listener import MetricsListener
+from otterreach.runtime.node import Node, on_signals, run_role
+from otterreach.runtime.rpc import Endpoint
+from otterreach.runtime.settings import Settings
+
+if TYPE_CHECKING:
+    from otterreach.runtime.figures import FigureSource
+
+JOURNAL = "control.journal"
+
+
+def figure_sources(node: Node, journal: Journal, controller: ControllerNode) -> tuple[FigureSource, ...]:
+    """What a controller tells of itself. Imports what a start does without."""
+    from otterreach.controller.figures import controller_figures
+    from otterreach.runtime.node_figures import journal_figures, node_figures
+
+    return partial(node_figures, node), partial(journal_figures, journal), partial(controller_figures, controller)
+
+
+async def serve(settings: Settings) -> None:
+    """Run a controller until SIGTERM."""
+    assert settings.datadir is not None
+    node = Node(settings, Endpoint())
+    journal, records = open_journal(settings.datadir / JOURNAL)
+    on_signals(node.stopping.set, node.reload)
+    controller = ControllerNode(settings, node, journal)
+    await MetricsListener(partial(figure_sources, node, journal, controller)).listen(settings.ip)
+    await controller.run(records)
 
-from otterreach.controller.node import serve
-from otterreach.runtime.node import run_role
 
 if __name__ == "__main__":
     run_role(serve)
--- a/otterreach/controller/election.py
+++ b/otterreach/controller/election.py
@@ -14,6 +14,7 @@
 from otterreach.controller.messages import Accept, Accepted, IdentityReply, IdentityRequest, Prepare, Promise
 from otterreach.runtime.codec import ReplyT, Request
 from otterreach.runtime.codes import Failure
+from otterreach.runtime.repeated_work import RepeatedWork
 from otterreach.runtime.rpc import Endpoint
 from otterreach.runtime.store import Item
 
@@ -35,6 +36,7 @@
         self.endpoint = endpoint
         self.formation = formation
         self.become_primary = become_primary
+        self.attempts = RepeatedWork("election")
         self.in_progress = False
         self.barred = False  # this controller shuts down: it stands no more
 
@@ -95,6 +97,7 @@
         replica = self.replica
         base = replica.newer or replica.accepted
         assert base is not None
+        self.attempts.note(replica.id, base.number)
         number = max(replica.promised, replica.highest_known_number, base.number) + 1
         promised = await self._collect_promises(base, number, change.transfer)
         if promised is None:
--- /dev/null
+++ b/otterreach/controller/figures.py
@@ -0,0 +1,29 @@
+"""The figures of a controller: its part in the epoch, and who is alive."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from otterreach.controller.local_replica import Mode
+from otterreach.controller.node import ControllerNode
+from otterreach.runtime.figures import Figure
+from otterreach.runtime.histogram import Histogram
+from otterreach.runtime.node_figures import repeated_work_figures
+from otterreach.runtime.records import MemberRecord
+
+
+def controller_figures(controller: ControllerNode) -> Iterable[Figure | Histogram]:
+    """Of one controller."""
+    replica = controller.control.replica
+    for mode in Mode:
+        yield Figure("controller_mode", "1 for the mode that it is in.", replica.mode is mode, {"mode": mode.value})
+    accepted = replica.accepted
+    yield Figure("epoch", "The number of the epoch that it has accepted.", accepted.number if accepted else 0)
+    yield Figure("epoch_promised", "The highest number that it has promised.", replica.promised)
+    yield Figure("epoch_backups", "Backups of that epoch.", len(accepted.backups) if accepted else 0)
+    yield Figure("epoch_witnesses", "Witnesses of that epoch.", len(accepted.witnesses) if accepted else 0)
+    members = [f"{node}#{record.disk}" for node, record in replica.store.records(MemberRecord).items()]
+    alive = sum(controller.detector.is_alive(member) for member in members)
+    yield Figure("members", "Members in the control state.", len(members))
+    yield Figure("members_alive", "Those whose heartbeats were heard of late, as far as is known here.", alive)
+    yield from repeated_work_figures(controller.control.election.attempts)
--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -17,15 +17,13 @@
 from otterreach.controller.survival import limits_of
 from otterreach.controller.watcher import Watcher
 from otterreach.runtime.http import JsonServer
-from otterreach.runtime.journal import Journal, open_journal
+from otterreach.runtime.journal import Journal
 from otterreach.runtime.journal_format import Record
 from otterreach.runtime.log import log
-from otterreach.runtime.node import Node, on_signals
+from otterreach.runtime.node import Node
 from otterreach.runtime.records import CoreRecord, MemberRole, ServerRecord, put
-from otterreach.runtime.rpc import Endpoint
 from otterreach.runtime.settings import Settings
 
-JOURNAL = "control.journal"
 API_BIND = "ctl"  # the name of the API's address in the settings
 PLAN_INTERVAL_S = 0.2
 STALL_S = 0.4  # the loop stood still for longer: nobody else is to blame for silence
@@ -110,12 +108,3 @@
         record = CoreRecord(tuple(addresses), self.settings.address, configuration.number)
         if self.control.state.record(CoreRecord) != record:
             self.control.propose([put(record)])
-
-
-async def serve(settings: Settings) -> None:
-    """Run a controller until SIGTERM."""
-    assert settings.datadir is not None
-    node = Node(settings, Endpoint())
-    journal, records = open_journal(settings.datadir / JOURNAL)
-    on_signals(node.stopping.set, node.reload)
-    await ControllerNode(settings, node, journal).run(records)
--- a/otterreach/jobstore/__main__.py
+++ b/otterreach/jobstore/__main__.py
@@ -4,19 +4,25 @@
 
 import asyncio
 import sys
+from functools import partial
 from random import Random, SystemRandom
+from typing import TYPE_CHECKING
 
 from otterreach.jobstore.disk_probe import wait_until_writable
 from otterreach.jobstore.graceful_shutdown import transfer_replicas
 from otterreach.jobstore.node import JobStoreNode
 from otterreach.runtime.codes import Code
-from otterreach.runtime.journal import open_journal
+from otterreach.runtime.journal import Journal, open_journal
 from otterreach.runtime.log import log
+from otterreach.runtime.metrics_listener import MetricsListener
 from otterreach.runtime.node import Node, on_signals, run_role
 from otterreach.runtime.records import MemberRole
 from otterreach.runtime.rpc import Endpoint
 from otterreach.runtime.settings import Settings
 
+if TYPE_CHECKING:
+    from otterreach.runtime.figures import FigureSource
+
 JOURNAL = "jobs.journal"
 STOP_TIMEOUT_S = 0.8  # what is being written has so long to get to disk
 
@@ -29,6 +35,14 @@
         task.cancel()
 
 
+def figure_sources(node: Node, journal: Journal, store_node: JobStoreNode) -> tuple[FigureSource, ...]:
+    """What a job store node tells of itself. Imports what a start does without."""
+    from otterreach.jobstore.figures import job_store_figures
+    from otterreach.runtime.node_figures import journal_figures, node_figures
+
+    return partial(node_figures, node), partial(journal_figures, journal), partial(job_store_figures, store_node)
+
+
 async def serve(settings: Settings) -> None:
     """Run a job store node until SIGTERM. Ends with the code of DISK_FAILED if the disk refuses a write."""
     assert settings.datadir is not None
@@ -45,6 +59,7 @@
     if not node.stopping.is_set():  # else its disk takes no writes, and it announces itself to nobody
         await node.start(MemberRole.JOB_STORE)
         endpoint.spawn(node.watch_settings())
+        await MetricsListener(partial(figure_sources, node, journal, store_node)).listen(settings.ip)
     await first_of(terminate, node.stopping)
     if terminate.is_set() and not node.stopping.is_set():
         await transfer_replicas(node)
--- a/otterreach/jobstore/dispatcher.py
+++ b/otterreach/jobstore/dispatcher.py
@@ -21,6 +21,7 @@
 from otterreach.jobstore.proxy_sessions import AssignedItem, ItemKey, ProxySession, ProxySessions, SessionState
 from otterreach.runtime.integers import clamped_integer
 from otterreach.runtime.log import log
+from otterreach.runtime.repeated_work import RepeatedWork
 from otterreach.runtime.rpc import Link
 
 FORGOTTEN_S = 2.0  # a proxy that doesn't name a job so long after it got items of it has lost them
@@ -71,6 +72,7 @@
         self.surplus_from: dict[str, int] = {}  # by job: from this order on, groups that its trainer doesn't wait for
         self.assignable_from: dict[int, float] = {}  # by partition served here: by then proxies have told what they run
         self.stopped = False
+        self.assignments = RepeatedWork("assign_item")
         self._blocks = AssignmentBlocks()
         self._scheduled = False
 
@@ -263,6 +265,7 @@
         """The first item that waits. Not whole groups: one proxy would work on a group while others have nothing."""
         _, item_id = queue.pop(0)
         item = job.items[item_id]
+        self.assignments.note(f"{job.id} {item_id}", None)
         job.proxies.add(session.node)
         item.state = ItemState.ASSIGNED
         assigned = AssignedItem(job, item)
--- a/otterreach/proxy/__main__.py
+++ b/otterreach/proxy/__main__.py
@@ -1,6 +1,42 @@
 """`python3 -m otterreach.proxy`: one proxy, as the settings file says."""
 
-from otterreach.proxy.node import run
-from otterreach.runtime.node import run_role
+from __future__ import annotations
 
-run_role(run)
+from functools import partial
+from typing import TYPE_CHECKING
+
+from otterreach.proxy.node import Proxy
+from otterreach.runtime.metrics_listener import MetricsListener
+from otterreach.runtime.node import Node, on_signals, run_role
+from otterreach.runtime.records import MemberRole
+from otterreach.runtime.rpc import Endpoint
+from otterreach.runtime.settings import Settings
+
+if TYPE_CHECKING:
+    from otterreach.runtime.figures import FigureSource
+
+
+def figure_sources(node: Node, proxy: Proxy) -> tuple[FigureSource, ...]:
+    """What a proxy tells of itself. Imports what a start does without."""
+    from otterreach.proxy.figures import proxy_figures
+    from otterreach.runtime.node_figures import node_figures
+
+    return partial(node_figures, node), partial(proxy_figures, proxy)
+
+
+async def serve(settings: Settings) -> None:
+    """Run a proxy until SIGTERM."""
+    node = Node(settings, Endpoint())
+    proxy = Proxy(node, node.random)
+    await node.start(MemberRole.PROXY)
+    await proxy.start()
+    await MetricsListener(partial(figure_sources, node, proxy)).listen(settings.ip)
+    on_signals(node.stopping.set, node.reload)
+    node.endpoint.spawn(node.watch_settings())
+    await node.stopping.wait()
+    await proxy.stop()
+    await node.endpoint.close()
+
+
+if __name__ == "__main__":
+    run_role(serve)
--- a/otterreach/proxy/fleet.py
+++ b/otterreach/proxy/fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Collection
 from random import Random
 
@@ -86,6 +87,7 @@
         self.opener = opener
         self.draw = Draw(random)
         self.config = Configuration()
+        self.outcomes: Counter[str] = Counter()  # of attempts, by what ended them
         self.servers: dict[str, Server] = {}
         self.runners = 1  # proxies that run items
         self.on_change: list[Callable[[], None]] = []  # told after each change
@@ -237,6 +239,7 @@
             outcome = await exchange.run()
         finally:
             server.estimate.record_ended()
+        self.outcomes[outcome.reason or outcome.execution.name.lower()] += 1
         server.estimate.record_reported_load(outcome.headers.get(b"server-load"), self.loop.time())
         if outcome.execution is Execution.NOT_EXECUTED and outcome.reason == "wrong_server":
             self._misdirected(server, outcome)
--- a/otterreach/proxy/ingress.py
+++ b/otterreach/proxy/ingress.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
 
 from otterreach.runtime.configuration import Caps
+from otterreach.runtime.histogram import Histogram
 from otterreach.runtime.log import log
 from otterreach.sidecar import http1
 from otterreach.sidecar.transport import AcceptedConnection
@@ -159,6 +160,7 @@
         """The answer is out."""
         keep = self._request is not None and self._request.keep_alive
         self._request = None
+        self._ingress.answer_times.observe(self._loop.time() - self.came_at)
         if self._transport and (not keep or self._ingress.shutting_down and not self._queue):
             self._closing = True
             self._transport.close()
@@ -184,6 +186,7 @@
         length = b"" if bodiless else b"Content-Length: %d\r\n" % len(body)
         if self._request.method == b"HEAD":
             body = b""
+        self._ingress.answers[status] += 1
         self._transport.write(self._head(status, headers or {}) + length + b"\r\n" + (b"" if bodiless else body))
         self._finish()
 
@@ -195,6 +198,7 @@
         """The head of an answer whose body follows in pieces."""
         if not self.is_closed and self._transport:
             self._open = True
+            self._ingress.answers[status] += 1
             self._transport.write(self._head(status, headers) + b"Transfer-Encoding: chunked\r\n\r\n")
 
     def write(self, data: bytes) -> None:
@@ -282,6 +286,8 @@
         self.caps = caps
         self.clients: set[Client] = set()
         self.shutting_down = False
+        self.answers: Counter[int] = Counter()  # by status
+        self.answer_times = Histogram("answer_seconds", "From the whole request to the end of its answer.")
         self._server: asyncio.Server | None = None
 
     @property
--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -19,8 +19,7 @@
 from otterreach.runtime.http import JsonServer, Reply
 from otterreach.runtime.http_client import JsonClient
 from otterreach.runtime.log import log
-from otterreach.runtime.node import Node, on_signals
-from otterreach.runtime.records import MemberRole
+from otterreach.runtime.node import Node
 from otterreach.runtime.settings import Settings
 from otterreach.sidecar import http1
 from otterreach.sidecar.transport import open_tcp
@@ -119,18 +118,3 @@
             self.ingress.shut_down(min(READINESS_DELAY_S, grace / 2), grace - SHUTDOWN_MARGIN_S),
         )
         self.probes.stop()
-
-
-async def run(settings: Settings) -> None:
-    """The program."""
-    from otterreach.runtime.rpc import Endpoint
-
-    node = Node(settings, Endpoint())
-    proxy = Proxy(node, node.random)
-    await node.start(MemberRole.PROXY)
-    await proxy.start()
-    on_signals(node.stopping.set, node.reload)
-    node.endpoint.spawn(node.watch_settings())
-    await node.stopping.wait()
-    await proxy.stop()
-    await node.endpoint.close()
--- a/otterreach/proxy/orders.py
+++ b/otterreach/proxy/orders.py
@@ -20,6 +20,7 @@
 from otterreach.runtime.log import log
 from otterreach.runtime.node import Node
 from otterreach.runtime.records import OrderLeaseRecord, ServerRecord, VersionRecord, key_of
+from otterreach.runtime.repeated_work import RepeatedWork
 from otterreach.runtime.store import Item
 
 STEP_INTERVAL_S = 0.1  # between two looks while loads are due here
@@ -116,6 +117,7 @@
         self._completed: dict[tuple[str, str], CompletedLoad] = {}  # by server and model
         self._orders_accepted: dict[str, int | None] = {}  # by server, as it last reported them
         self._rejected_fences: dict[str, int] = {}  # by server: a fence of ours that it refused as too low
+        self.repeated = RepeatedWork("order_weights")
         self._known = KnownState()
         self._changed = asyncio.Event()
 
@@ -258,6 +260,7 @@
             self._last_order_at[ident] = self.loop.time()
             return self.fence(ident) == fence
 
+        self.repeated.note(f"{ident} {load.model}", load.version)
         result, status = await server.order(order, may_write)
         log("order", server=ident, model=load.model, version=load.version, fence=fence, status=status)
         self._learn_from(ident, order, result)
--- a/otterreach/proxy/runner.py
+++ b/otterreach/proxy/runner.py
@@ -43,6 +43,7 @@
         self._texts = TextGeneration(fleet, placer, self.queue, self._permission)
         self._rewards = RewardCalls(fleet, self.directory, self._permission)
         self._reports = ItemReports(settings.node, endpoint, self.directory)
+        self.returned = 0  # items for which no server could be reached
         self._state_age_s = state_age_s
         self._order = 0
         endpoint.on(AssignItems, self._on_assign)
@@ -114,6 +115,7 @@
 
     def return_item(self, run: ItemRun) -> None:
         """No server could be reached for it from here."""
+        self.returned += 1
         log("item_returned", job=run.job, item=run.item, attempts=run.unreachable)
         self._reports.return_items(run.job, {run.item: run.failures}, out_of_reach=True)
         self.queue.drop(run)
--- a/otterreach/runtime/http.py
+++ b/otterreach/runtime/http.py
@@ -171,11 +171,13 @@
     async def listen(self, host: str, port: int) -> int:
         """Accept connections; returns the port. Raises OSError."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
-            lambda: _CallerConnection(self), host, port, backlog=256, reuse_address=True
-        )
+        self._server = await loop.create_server(self.accept, host, port, backlog=256, reuse_address=True)
         return int(self._server.sockets[0].getsockname()[1])
 
+    def accept(self) -> asyncio.Protocol:
+        """What handles one connection, whoever listens."""
+        return _CallerConnection(self)
+
     def stop(self) -> None:
         """Accept no new connections; idle ones close, the others after their answer."""
         self.stopping = True
--- a/otterreach/runtime/journal.py
+++ b/otterreach/runtime/journal.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.histogram import Histogram
 from otterreach.runtime.journal_format import JournalDamagedError, Record, end_of_records, pack, records_up_to
 from otterreach.runtime.log import log
 
@@ -118,6 +119,7 @@
         self.path = path
         self.size = 0  # bytes in the file, with what is still to be written
         self.failed: Failure | None = None
+        self.sync_times = Histogram("journal_sync_seconds", "Time to write and sync the journal.")
         self._synced = 0
         self._pending: list[bytes] = []
         self._waiting: list[asyncio.Future[bool]] = []
@@ -193,7 +195,9 @@
             async with self._in_use:
                 waiting = self._waiting
                 self._waiting = []
+                began_at = asyncio.get_running_loop().time()
                 await self._write_pending()
+                self.sync_times.observe(asyncio.get_running_loop().time() - began_at)
             self._complete(waiting)
         if self.failed is not None:
             waiting = self._waiting
--- a/otterreach/runtime/relay.py
+++ b/otterreach/runtime/relay.py
@@ -19,6 +19,7 @@
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.log import log
 from otterreach.runtime.records import CoreRecord, MemberRecord, MemberRole
+from otterreach.runtime.repeated_work import RepeatedWork
 from otterreach.runtime.rpc import Endpoint, Link
 from otterreach.runtime.settings import Settings
 from otterreach.runtime.store import RANGES, Item, ReplicatedStore
@@ -153,6 +154,7 @@
         self.relay = Relay(endpoint, store, self.age_s)
         self.fresh_at = NEVER_S  # on the monotonic clock: at that time the root knew nothing newer than this store
         self._last_message_at = NEVER_S  # from the parent
+        self.attachments = RepeatedWork("attach_to_parent")
         self._attempts = 0  # to attach, since the last success
         endpoint.on(Changes, self.handle_changes)
 
@@ -229,6 +231,7 @@
         address = candidates[self._attempts % len(candidates)]
         self._attempts += 1
         asked_at = self.loop.time()
+        self.attachments.note(self.settings.node, self.fresh_at)
         reply = await self.endpoint.call(address, Follow(self.settings.node, self.store.digests), CALL_TIMEOUT_S)
         if isinstance(reply, Failure):
             if address == self.parent:
--- a/otterreach/runtime/rpc.py
+++ b/otterreach/runtime/rpc.py
@@ -9,6 +9,7 @@
 import asyncio
 import socket
 import struct
+from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any, TypeVar
@@ -119,6 +120,7 @@
             log("bad_message", peer=self.peer or self.address, error=str(error))
             self.abort()
             return
+        self.endpoint.received[type(value)] += 1
         if flags & REPLY_FLAG:
             self._handle_reply(call_number, value)
             return
@@ -158,6 +160,7 @@
         if self.closed or self._transport is None:
             return
         body = encode(value)
+        self.endpoint.sent[type(value)] += 1
         self._transport.write(HEADER.pack(len(body), call_number, NUMBERS[type(value)], flags) + body)
         if self._transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
             self.abort()
@@ -246,6 +249,8 @@
     def __init__(self) -> None:
         self.handlers: dict[type, Handler] = {}
         self.links: set[Link] = set()
+        self.sent: Counter[type] = Counter()  # messages, by kind
+        self.received: Counter[type] = Counter()
         self._opened: dict[str, Link] = {}
         self._opening: dict[str, asyncio.Task[Link | Failure]] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
--- a/tests/proxy/test_runner.py
+++ b/tests/proxy/test_runner.py
@@ -560,9 +560,10 @@
     @staged()
     async def test_a_shutdown_is_told_at_once(self, stage: Stage) -> None:
         await asyncio.sleep(3.0)
-        stage.endpoint.spawn(stage.runner.shut_down(1.0))
+        ending = stage.endpoint.spawn(stage.runner.shut_down(1.0))
         await asyncio.sleep(0.02)
         self.assertEqual(self.pings(stage)[-1].slots, 0)
+        await ending
 
 
 class Returned(unittest.TestCase):
