--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -78,6 +78,33 @@
             outcome = await self.exchange(pool, outbound(b"x" * 32_000_000), 0.1).run()
         self.assertEqual((outcome.execution, outcome.timed_out), (Execution.NOT_EXECUTED, True))
 
+    async def test_what_the_kernel_still_holds_of_a_given_up_request_never_arrives(self) -> None:
+        """The server reads only after the attempt was given up, as behind a path that was cut meanwhile."""
+        body = b"x" * 400_000
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            pool = Pool(asyncio.get_running_loop(), listener.getsockname())
+            running = asyncio.ensure_future(self.exchange(pool, outbound(body)).run())
+            loop = asyncio.get_running_loop()
+            listener.setblocking(False)
+            server_end, _ = await loop.sock_accept(listener)
+            first = await loop.sock_recv(server_end, 100)
+            running.cancel()
+            with suppress(asyncio.CancelledError):
+                await running
+            received = len(first)
+            reset = False
+            try:
+                while data := await loop.sock_recv(server_end, 1 << 20):
+                    received += len(data)
+            except ConnectionResetError:
+                reset = True
+            server_end.close()
+        self.assertLess(received, len(body))
+        self.assertTrue(reset)
+
     async def early(self, head: bytes) -> tuple[Outcome, Pool, bytes]:
         """The outcome at a server that answers before it has read the body, and all that it ever reads."""
         got = bytearray()
