Calls to servers that are given up reset their connection, as attempts do

Cause: the same as for attempts: an order that timed out after a second on a cut path would have been sent by the orderly close once the path was back, maybe after its lease had gone to another.

Change: ServerConnection has the reset for both; the client of JSON calls uses it where a call was cancelled or timed out.

Result: a test on real connections fails without it and passes with it.

--- a/otterreach/proxy/pools.py
+++ b/otterreach/proxy/pools.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from enum import Enum, auto
@@ -24,7 +23,6 @@
 USER_TIMEOUT_MS = 1000  # bytes unacknowledged for so long never arrive later: no late run of something cancelled
 PROBE_IDLE_S = 1
 PROBE_GAP_S = 1
-DROP_UNSENT = struct.pack("ii", 1, 0)  # SO_LINGER: a close resets the connection, and the kernel sends nothing more
 PROBES = 2
 
 Address = tuple[str, int]
@@ -119,15 +117,9 @@
             self._change(State.IDLE)
 
     def discard(self) -> None:
-        """Give up what is on it, and close.
-
-        Danger: on a path that is cut, a request waits in the kernel. An orderly close would deliver it once the path is
-        back, seconds after its batch job has ended.
-        """
-        sock = self._transport.get_extra_info("socket") if self._transport else None
-        if sock is not None and self.state is State.BUSY:
-            with suppress(OSError):  # the other side may have broken it by now
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DROP_UNSENT)
+        """Give up what is on it, and close."""
+        if self.state is State.BUSY:
+            self._drop_unsent()
         self._user = None
         self._change(State.CLOSED)
         self._abort()
--- a/otterreach/runtime/http_client.py
+++ b/otterreach/runtime/http_client.py
@@ -133,6 +133,8 @@
             return Failure(Code.UNREACHABLE if self.unwritten else Code.TIMED_OUT, "no answer in time")
         finally:
             self._parser = None
+            if not answered:
+                self._drop_unsent()  # an order must not arrive after the lease that it was sent under
             # Danger: a cancellation or a time-out can come in the same turn of the loop as the answer.
             if not answered or not self.reusable:
                 self.close()
--- a/otterreach/sidecar/transport.py
+++ b/otterreach/sidecar/transport.py
@@ -9,11 +9,13 @@
 import asyncio
 import select
 import socket
+import struct
 from collections.abc import Callable
 from contextlib import suppress
 from typing import TypeVar
 
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: on, for no time
 P = TypeVar("P", bound=asyncio.Protocol)
 
 
@@ -64,6 +66,17 @@
         # A write that fails at once leaves nothing in the buffer: the closing transport is what tells.
         self.unwritten = self.unwritten or self._transport.is_closing()
 
+    def _drop_unsent(self) -> None:
+        """Have the close that follows reset the connection: the kernel sends nothing more.
+
+        Danger: on a path that is cut, a request waits in the kernel. An orderly close would deliver it once the path is
+        back, seconds after it was given up.
+        """
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        if sock is not None:
+            with suppress(OSError):  # the other side may have broken it by now
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
     def _abort(self) -> None:
         """Close without flushing: the rest of a given-up request must not leave."""
         if self._transport and not self._transport.is_closing():
--- a/tests/runtime/test_http_calls.py
+++ b/tests/runtime/test_http_calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -147,6 +148,36 @@
     play(late(0.11), main)
 
 
+def test_what_the_kernel_still_holds_of_a_call_that_timed_out_never_arrives() -> None:
+    """The other end reads only then, as behind a path that was cut: an order must not arrive that late."""
+    body = b"x" * 400_000
+
+    async def work() -> tuple[Reply | Failure, int, bool]:
+        loop = asyncio.get_running_loop()
+        with socket.socket() as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            listener.bind(("127.0.0.1", 0))
+            listener.listen()
+            listener.setblocking(False)
+            host, port = listener.getsockname()
+            reply = await JsonClient().call(f"{host}:{port}", "POST", "/order", body, 0.1)
+            server_end, _ = await loop.sock_accept(listener)
+            received = 0
+            reset = False
+            try:
+                while data := await loop.sock_recv(server_end, 1 << 20):
+                    received += len(data)
+            except ConnectionResetError:
+                reset = True
+            server_end.close()
+        return reply, received, reset
+
+    reply, received, reset = asyncio.run(work())
+    assert isinstance(reply, Failure)
+    assert received < len(body)
+    assert reset
+
+
 def test_an_extra_answer_while_at_rest_ends_the_connection() -> None:
     def script(end: Served, request: http1.Request) -> None:
         end.write(answer(request))
