--- a/otterreach/proxy/item_queue.py
+++ b/otterreach/proxy/item_queue.py
@@ -10,7 +10,7 @@
 from otterreach.jobstore.placement import MIN_RUNNERS, RUNNER_SLOTS_SHARE
 from otterreach.proxy.fleet import Fleet
 from otterreach.proxy.item_placement import ItemPlacer, Need
-from otterreach.proxy.item_return import Obstacle, goes_back
+from otterreach.proxy.item_return import Obstacle, should_return
 from otterreach.proxy.item_run import Abandoned, ItemRun, Phase, Placement
 from otterreach.proxy.ping_schedule import ItemLoad
 
@@ -112,7 +112,7 @@
                 continue
             need = self.placer.need(run)
             placement = stuck.get(need) or self.placer.place(run)
-            if self._goes_back(run, placement):
+            if self._should_return(run, placement):
                 self._owner.return_item(run)
             elif isinstance(placement, Obstacle):
                 stuck[need] = placement
@@ -122,14 +122,14 @@
         if self._recheck is None:
             self._recheck = self.loop.call_later(RECHECK_S, self._on_recheck)
 
-    def _goes_back(self, run: ItemRun, placement: Placement | Abandoned | Obstacle) -> bool:
+    def _should_return(self, run: ItemRun, placement: Placement | Abandoned | Obstacle) -> bool:
         """Whether another proxy is to try."""
         if isinstance(placement, Abandoned) or self.fleet.proxies < MIN_PROXIES_TO_RETURN:
             return False
         obstacle = placement if isinstance(placement, Obstacle) else None
         waited_s = self.loop.time() - run.left_server_at
         has_text = bool(len(run.transcript))
-        return goes_back(obstacle, waited_s, run.unreachable, self._owner.state_age_s(), has_text)
+        return should_return(obstacle, waited_s, run.unreachable, self._owner.state_age_s(), has_text)
 
     def _on_recheck(self) -> None:
         self._recheck = None
--- a/otterreach/proxy/item_return.py
+++ b/otterreach/proxy/item_return.py
@@ -25,7 +25,9 @@
     NO_CONNECTION = auto()  # this proxy may open no further one
 
 
-def goes_back(obstacle: Obstacle | None, waited_s: float, unreachable: int, state_age_s: float, has_text: bool) -> bool:
+def should_return(
+    obstacle: Obstacle | None, waited_s: float, unreachable: int, state_age_s: float, has_text: bool
+) -> bool:
     """Whether an item is returned.
 
     :param obstacle: why it finds no server now; None if it finds one
--- a/otterreach/proxy/ping_schedule.py
+++ b/otterreach/proxy/ping_schedule.py
@@ -26,11 +26,11 @@
     free: int
     jobs: tuple[str, ...] = ()
 
-    def differs_from(self, told: ItemLoad) -> bool:
-        """Whether one who was told `told` would assign too much or too little."""
-        if self.slots != told.slots:
+    def differs_from(self, reported: ItemLoad) -> bool:
+        """Whether one who was told `reported` would assign too much or too little."""
+        if self.slots != reported.slots:
             return True
-        return abs(self.free - told.free) > self.slots * LOAD_CHANGE_SHARE
+        return abs(self.free - reported.free) > self.slots * LOAD_CHANGE_SHARE
 
 
 @dataclass(slots=True)
@@ -38,7 +38,7 @@
     """The pings to one node."""
 
     sent_at: float
-    told: ItemLoad
+    reported: ItemLoad
     interval_s: float  # to the next one, where nothing makes it urgent
     is_answered: bool = False
 
@@ -60,7 +60,7 @@
         pings = self._pings.get(address)
         if pings is None:
             return True
-        is_urgent = is_urgent or not pings.is_answered or load.differs_from(pings.told)
+        is_urgent = is_urgent or not pings.is_answered or load.differs_from(pings.reported)
         interval_s = SHORT_INTERVAL_S if is_urgent else pings.interval_s
         return now - pings.sent_at >= interval_s - TICK_TOLERANCE_S
 
--- a/tests/proxy/test_item_return.py
+++ b/tests/proxy/test_item_return.py
@@ -1,4 +1,4 @@
-"""Which items go back to their job store node, and which wait: the whole table of goes_back."""
+"""Which items go back to their job store node, and which wait: the whole table of should_return."""
 
 from __future__ import annotations
 
@@ -11,14 +11,14 @@
     RETURN_AFTER_S,
     RETURN_TEXT_AFTER_S,
     Obstacle,
-    goes_back,
+    should_return,
 )
 
 LONG_S = RETURN_TEXT_AFTER_S + 1
 OBSTACLES = (*Obstacle, None)
 
 
-class GoesBackTest(unittest.TestCase):
+class ShouldReturnTest(unittest.TestCase):
     def test_table(self) -> None:
         """By obstacle: with state that is new and servers that answer, with old state, with servers that don't."""
         table: dict[Obstacle | None, tuple[bool, bool, bool]] = {
@@ -33,19 +33,19 @@
         for obstacle, expected in table.items():
             with self.subTest(obstacle=obstacle):
                 found = (
-                    goes_back(obstacle, LONG_S, 0, 0.0, False),
-                    goes_back(obstacle, LONG_S, 0, MAX_STATE_AGE_S + 0.1, False),
-                    goes_back(obstacle, LONG_S, MIN_UNREACHABLE_ATTEMPTS, 0.0, False),
+                    should_return(obstacle, LONG_S, 0, 0.0, False),
+                    should_return(obstacle, LONG_S, 0, MAX_STATE_AGE_S + 0.1, False),
+                    should_return(obstacle, LONG_S, MIN_UNREACHABLE_ATTEMPTS, 0.0, False),
                 )
                 self.assertEqual(found, expected)
 
     def test_nothing_goes_back_at_once(self) -> None:
         for obstacle, has_text in product(OBSTACLES, (False, True)):
             limit = RETURN_TEXT_AFTER_S if has_text else RETURN_AFTER_S
-            self.assertFalse(goes_back(obstacle, limit - 0.01, 100, 100.0, has_text))
+            self.assertFalse(should_return(obstacle, limit - 0.01, 100, 100.0, has_text))
 
     def test_one_lost_connection_is_no_reason(self) -> None:
-        self.assertFalse(goes_back(None, LONG_S, MIN_UNREACHABLE_ATTEMPTS - 1, 0.0, False))
+        self.assertFalse(should_return(None, LONG_S, MIN_UNREACHABLE_ATTEMPTS - 1, 0.0, False))
 
     def test_two_proxies_that_fail_leave_time_for_a_third(self) -> None:
         """No item may be at no server for 5 s while servers have room."""
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -12,6 +12,7 @@
 from otterreach.proxy.ingress import Client, Ingress
 from otterreach.proxy.pools import Pool
 from otterreach.runtime.configuration import Caps
+from tests.late_reader import LateReader, read_to_the_end
 from tests.proxy.proxy_support import SEAL
 
 
@@ -81,28 +82,16 @@
     async def test_what_the_kernel_still_holds_of_a_given_up_request_never_arrives(self) -> None:
         """The server reads only after the attempt was given up, as behind a path that was cut meanwhile."""
         body = b"x" * 400_000
-        with socket.socket() as listener:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
-            pool = Pool(asyncio.get_running_loop(), listener.getsockname())
+        with LateReader() as reader:
+            pool = Pool(asyncio.get_running_loop(), reader.address)
             running = asyncio.ensure_future(self.exchange(pool, outbound(body)).run())
-            loop = asyncio.get_running_loop()
-            listener.setblocking(False)
-            server_end, _ = await loop.sock_accept(listener)
-            first = await loop.sock_recv(server_end, 100)
+            connection = await reader.accept()
+            first = await asyncio.get_running_loop().sock_recv(connection, 100)
             running.cancel()
             with suppress(asyncio.CancelledError):
                 await running
-            received = len(first)
-            reset = False
-            try:
-                while data := await loop.sock_recv(server_end, 1 << 20):
-                    received += len(data)
-            except ConnectionResetError:
-                reset = True
-            server_end.close()
-        self.assertLess(received, len(body))
+            rest, reset = await read_to_the_end(connection)
+        self.assertLess(len(first) + rest, len(body))
         self.assertTrue(reset)
 
     async def early(self, head: bytes) -> tuple[Outcome, Pool, bytes]:
--- a/tests/runtime/test_http_calls.py
+++ b/tests/runtime/test_http_calls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -15,6 +14,7 @@
 from otterreach.runtime.http_client import IDLE_MARGIN_S, MAX_IDLE_S, JsonClient
 from otterreach.sidecar import http1
 from tests import virtual
+from tests.late_reader import LateReader, read_to_the_end
 from tests.virtual import MemoryLoop, MemoryTransport, connect
 
 HOST, PORT = "10.0.0.1", 80
@@ -153,24 +153,10 @@
     body = b"x" * 400_000
 
     async def work() -> tuple[Reply | Failure, int, bool]:
-        loop = asyncio.get_running_loop()
-        with socket.socket() as listener:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            listener.bind(("127.0.0.1", 0))
-            listener.listen()
-            listener.setblocking(False)
-            host, port = listener.getsockname()
+        with LateReader() as reader:
+            host, port = reader.address
             reply = await JsonClient().call(f"{host}:{port}", "POST", "/order", body, 0.1)
-            server_end, _ = await loop.sock_accept(listener)
-            received = 0
-            reset = False
-            try:
-                while data := await loop.sock_recv(server_end, 1 << 20):
-                    received += len(data)
-            except ConnectionResetError:
-                reset = True
-            server_end.close()
-        return reply, received, reset
+            return reply, *await read_to_the_end(await reader.accept())
 
     reply, received, reset = asyncio.run(work())
     assert isinstance(reply, Failure)
