--- a/otterreach/simulation/planted_jobs.py
+++ b/otterreach/simulation/planted_jobs.py
@@ -43,7 +43,7 @@
         "jobs",
         plan=STORES_UNHEARD,
         rule="position is gone",
-        seed=8,
+        seed=35,
     ),
     Planted(
         "jobs-append-not-synced",
