--- a/otterreach/runtime/http_client.py
+++ b/otterreach/runtime/http_client.py
@@ -218,6 +218,11 @@
         self._idle[key] = connection
         connection.start_idle_timer(seconds)
 
+    def close(self) -> None:
+        """Close the idle connections. A call under way keeps its own."""
+        for connection in list(self._idle.values()):
+            connection.close()
+
     def _closed(self, connection: _Connection) -> None:
         for key in [key for key, idle in self._idle.items() if idle is connection]:
             del self._idle[key]
