KNOWN-RED.txt: an entry names its command and seed, and what was seen

Cause: an entry was `test-id | cause | issue`. It named a cause that is often not known yet, and not how to run the test.

Change: an entry is `test-id | command and seed | what was seen | issue`. A command without a seed and an issue without a number are refused, as are four lines and a test listed twice, as before.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,10 +1,14 @@
 """KNOWN-RED.txt: tests that fail for a known fault. They run, are reported, and don't fail the whole run.
 
-One line each at the root of the repository: `test-id | cause | issue`; three at most, none as a rule.
+The file is at the root of the repository, one line a test: `test-id | command and seed | what was seen | issue`; three
+at most, none as a rule. For example:
+
+    tests/x/test_y.py::test_z | python3 -m pytest -k test_z, seed 7 | a lock had two holders | issue 9
 """
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,7 +17,9 @@
 
 FILE = "KNOWN-RED.txt"
 MOST = 3
-FIELDS = 3
+FIELDS = 4
+SEED = re.compile(r"\bseed\b")  # "no seed" where chance plays no part
+ISSUE = re.compile(r"issue \d+")
 
 
 class KnownRedError(Exception):
@@ -22,10 +28,11 @@
 
 @dataclass(frozen=True)
 class KnownRed:
-    """One listed test."""
+    """One listed test: how to run it, what came of it, and where the fault is followed."""
 
     test_id: str
-    cause: str
+    command_and_seed: str
+    seen: str
     issue: str
 
 
@@ -38,13 +45,23 @@
     for number, line in enumerate(lines, 1):
         fields = [field.strip() for field in line.split("|")]
         if len(fields) != FIELDS or not all(fields):
-            raise KnownRedError(f"{FILE}, line {number}: expected `test-id | cause | issue`")
-        found.append(KnownRed(*fields))
+            raise KnownRedError(f"{FILE}, line {number}: expected `test-id | command and seed | what was seen | issue`")
+        entry = KnownRed(*fields)
+        _check(entry, number)
+        found.append(entry)
     if len({entry.test_id for entry in found}) < len(found):
         raise KnownRedError(f"{FILE}: a test is listed twice")
     return found
 
 
+def _check(entry: KnownRed, number: int) -> None:
+    """Someone who reads the line can run the test again, and finds its issue."""
+    if not SEED.search(entry.command_and_seed):
+        raise KnownRedError(f"{FILE}, line {number}: the command names no seed")
+    if not ISSUE.fullmatch(entry.issue):
+        raise KnownRedError(f"{FILE}, line {number}: expected `issue` and its number")
+
+
 def load(root: Path) -> list[KnownRed]:
     """What the file at `root` lists; nothing where there is no file."""
     file = root / FILE
@@ -78,7 +95,7 @@
             raise pytest.UsageError(f"{FILE} lists tests that are not there: {', '.join(absent)}")
         for item in items:
             if entry := self.entries.get(item.nodeid):
-                item.add_marker(pytest.mark.xfail(reason=f"{entry.cause} ({entry.issue})", strict=False))
+                item.add_marker(pytest.mark.xfail(reason=f"{entry.seen} ({entry.issue})", strict=False))
 
     def pytest_terminal_summary(self, terminalreporter: pytest.TerminalReporter) -> None:
         if not self.entries:
@@ -88,4 +105,4 @@
         for key, meaning in outcomes.items():
             for report in terminalreporter.stats.get(key, ()):
                 if entry := self.entries.get(report.nodeid):
-                    terminalreporter.line(f"{entry.test_id}: {meaning} | {entry.cause} | {entry.issue}")
+                    terminalreporter.line(f"{entry.test_id}: {meaning} | {entry.seen} | {entry.issue}")
--- a/tests/project/test_known_red.py
+++ b/tests/project/test_known_red.py
@@ -28,6 +28,11 @@
     return pytester
 
 
+def line(test: str, seen: str = "what") -> str:
+    """A line of the file for a test of the project above."""
+    return f"test_project.py::{test} | pytest -k {test}, seed 1 | {seen} | issue 1"
+
+
 def list_tests(project: pytest.Pytester, *lines: str) -> None:
     (project.path / FILE).write_text("".join(f"{line}\n" for line in lines))
 
@@ -40,38 +45,36 @@
 
 
 def test_listed_tests_are_passed_over_and_printed(project: pytest.Pytester) -> None:
-    list_tests(
-        project, "test_project.py::test_red | a cause | issue 1", "test_project.py::test_other_red | b | issue 2"
-    )
+    list_tests(project, line("test_red"), line("test_other_red", seen="other"))
     result = project.runpytest_inprocess()
     result.assert_outcomes(passed=1, xfailed=2)
     assert result.ret == pytest.ExitCode.OK
-    result.stdout.fnmatch_lines(["test_project.py::test_red: fails as known | a cause | issue 1"])
+    result.stdout.fnmatch_lines(["test_project.py::test_red: fails as known | what | issue 1"])
 
 
 def test_a_failure_that_is_not_listed_still_counts(project: pytest.Pytester) -> None:
-    list_tests(project, "test_project.py::test_red | a cause | issue 1")
+    list_tests(project, line("test_red"))
     result = project.runpytest_inprocess()
     result.assert_outcomes(passed=1, failed=1, xfailed=1)
     assert result.ret == pytest.ExitCode.TESTS_FAILED
 
 
 def test_a_listed_test_that_passes_is_reported(project: pytest.Pytester) -> None:
-    list_tests(project, "test_project.py::test_green | mended | issue 1")
+    list_tests(project, line("test_green"))
     result = project.runpytest_inprocess("-k", "green")
-    result.stdout.fnmatch_lines(["test_project.py::test_green: PASSES: take its line out | mended | issue 1"])
+    result.stdout.fnmatch_lines(["test_project.py::test_green: PASSES: take its line out | what | issue 1"])
 
 
 @pytest.mark.parametrize("test_id", ["test_project.py::test_gone", "test_gone.py::test_red"])
 def test_a_listed_test_that_is_not_there_is_an_error(project: pytest.Pytester, test_id: str) -> None:
-    list_tests(project, f"{test_id} | a cause | issue 1")
+    list_tests(project, f"{test_id} | pytest, seed 1 | what | issue 1")
     result = project.runpytest_inprocess()
     assert result.ret == pytest.ExitCode.USAGE_ERROR
     result.stderr.fnmatch_lines([f"*not there: {test_id}"])
 
 
 def test_more_than_three_lines_are_an_error(project: pytest.Pytester) -> None:
-    list_tests(project, *(f"test_project.py::test_{number} | a cause | issue 1" for number in range(4)))
+    list_tests(project, *(line(f"test_{number}") for number in range(4)))
     result = project.runpytest_inprocess()
     assert result.ret == pytest.ExitCode.USAGE_ERROR
     result.stderr.fnmatch_lines(["*4 lines, at most 3*"])
@@ -79,10 +82,22 @@
 
 def test_lines() -> None:
     assert parse("") == parse("\n \n") == []
-    assert parse("a.py::b | cause | issue 9\n\n") == [KnownRed("a.py::b", "cause", "issue 9")]
-
-
-@pytest.mark.parametrize("text", ["a.py::b", "a.py::b | cause", "a.py::b | | issue", "a | b | c | d", "a|b|c\na|d|e"])
+    line = "a.py::b | pytest, seed 3 | two holders | issue 9\n\n"
+    assert parse(line) == [KnownRed("a.py::b", "pytest, seed 3", "two holders", "issue 9")]
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "a.py::b",
+        "a.py::b | two holders | issue 9",
+        "a.py::b | pytest, seed 3 | | issue 9",
+        "a.py::b | pytest, seed 3 | two holders | issue 9 | more",
+        "a.py::b | pytest | two holders | issue 9",
+        "a.py::b | pytest, seed 3 | two holders | later",
+        "a.py::b | pytest, seed 3 | two holders | issue 9\na.py::b | pytest, seed 4 | no holder | issue 8",
+    ],
+)
 def test_bad_lines_are_refused(text: str) -> None:
     with pytest.raises(KnownRedError):
         parse(text)
