--- /dev/null
+++ b/tests/controller/test_coordination_served.py
@@ -0,0 +1,38 @@
+"""Calls of coordination are answered, by each controller, in calm times."""
+
+from __future__ import annotations
+
+import unittest
+
+from tests.controller.controller_world import Cluster
+from tests.controller.coordination_support import Coordination
+
+AIM_S = 0.06  # of the stricter of the two deployments
+
+
+class ServedTest(unittest.TestCase):
+    # Guards against SHORT: every call of coordination got 404, and nothing of its worth was earned.
+    def test_calls_of_coordination_are_served(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            for turn, box in enumerate(cluster.boxes):
+                with self.subTest(controller=box.name, primary=box is cluster.primary):
+                    lock, key, group = f"l{turn}", f"g{turn}.key", f"g{turn}"
+                    acquired = await calls.acquire(box, lock, "a3.7")
+                    renewed = await calls.renew(box, lock, "a3.7", acquired.body.get("fence", 0))
+                    number = await calls.number(box, f"n{turn}")
+                    put = await calls.put(box, key, "5c0e7a21d94b36f8", 0)
+                    read = await calls.read(box, key)
+                    watch = await calls.watch(box, group, 0)
+                    answers = [acquired, renewed, number, put, read, watch]
+                    self.assertEqual([200] * 6, [answer.status for answer in answers])
+                    self.assertLess(max(answer.took_s for answer in answers), AIM_S)
+                    self.assertEqual({"value": "5c0e7a21d94b36f8", "rev": 1}, read.body)
+                    self.assertEqual({"rev": 1}, put.body)
+                    self.assertEqual(1, watch.body["rev"])
+
+        Cluster().play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
