--- /dev/null
+++ b/otterreach/coordination/watches.py
@@ -0,0 +1,64 @@
+"""Who waits for which group to pass which revision.
+
+A waiter is whatever the embedder wakes, a future for instance. Waiting costs an entry in a table and nothing else.
+
+    >>> table = WatchTable(limit=100)
+    >>> table.add("g1.", 7, "first")
+    True
+    >>> table.take("g1.", 7)
+    []
+    >>> table.take("g1.", 8)
+    ['first']
+"""
+
+from __future__ import annotations
+
+from collections.abc import Hashable
+from typing import Generic, TypeVar
+
+WaiterT = TypeVar("WaiterT", bound=Hashable)
+
+
+class WatchTable(Generic[WaiterT]):
+    """Waiters by the group that they wait for."""
+
+    def __init__(self, limit: int) -> None:
+        """:param limit: so many may wait at a time"""
+        self.limit = limit
+        self._waiters: dict[str, dict[WaiterT, int]] = {}
+        self._count = 0
+
+    def __len__(self) -> int:
+        return self._count
+
+    def add(self, group: str, past: int, waiter: WaiterT) -> bool:
+        """Let it wait for a revision above `past`; False if too many wait already."""
+        if self._count >= self.limit:
+            return False
+        self._waiters.setdefault(group, {})[waiter] = past
+        self._count += 1
+        return True
+
+    def remove(self, group: str, waiter: WaiterT) -> None:
+        """It waits no more. Nothing happens if it doesn't."""
+        waiters = self._waiters.get(group, {})
+        if waiters.pop(waiter, None) is None:
+            return
+        self._count -= 1
+        if not waiters:
+            del self._waiters[group]
+
+    def take(self, group: str, revision: int) -> list[WaiterT]:
+        """Remove and return those that this revision of the group is news to."""
+        waiters = self._waiters.get(group, {})
+        reached = [waiter for waiter, past in waiters.items() if past < revision]
+        for waiter in reached:
+            self.remove(group, waiter)
+        return reached
+
+    def take_all(self) -> list[WaiterT]:
+        """Remove and return all."""
+        everyone = [waiter for waiters in self._waiters.values() for waiter in waiters]
+        self._waiters.clear()
+        self._count = 0
+        return everyone
--- /dev/null
+++ b/tests/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the coordination library."""
