--- a/otterreach/controller/acceptor.py
+++ b/otterreach/controller/acceptor.py
@@ -85,7 +85,7 @@
             return self._stale_epoch()
         if configuration is None or configuration.number != request.number or replica.id not in configuration.backups:
             return Failure(Code.NOT_SYNCED, "not a backup of this epoch")
-        replica.store.apply(request.items)
+        replica.apply_items(request.items)
         replica.collect_tombstones()
         replica.journal.append(JournalKind.ITEMS, encode(request))
         if not await replica.sync():
--- /dev/null
+++ b/otterreach/controller/api/numbers.py
@@ -0,0 +1,39 @@
+"""POST /numbers/ID: a number above all that were given under that name."""
+
+from __future__ import annotations
+
+from otterreach.controller.api.coordination_answers import MAX_NAMES, CoordinationState, after_write, answer, refusal
+from otterreach.controller.api.coordination_calls import read_name, read_number
+from otterreach.controller.api.resource import METHOD_NOT_ALLOWED
+from otterreach.controller.coordination_records import NumberRecord
+from otterreach.controller.messages import ApiCall, ApiResponse
+from otterreach.coordination.counters import next_value
+from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.records import put
+
+
+class NumberResource:
+    """Counters. Each number is written before it is given."""
+
+    def __init__(self, control: CoordinationState) -> None:
+        self.control = control
+
+    async def handle(self, call: ApiCall) -> ApiResponse:
+        """Answer a call, at the primary."""
+        if call.method != "POST":
+            return METHOD_NOT_ALLOWED
+        name = read_name(call)
+        if isinstance(name, Failure):
+            return refusal(name)
+        failure = read_number(call.body)
+        if failure is not None:
+            return refusal(failure)
+        return await self._next(name)
+
+    async def _next(self, name: str) -> ApiResponse:
+        state = self.control.state
+        record = state.record(NumberRecord, name)
+        if record is None and state.count(NumberRecord) >= MAX_NAMES:
+            return refusal(Failure(Code.COORDINATION_LIMIT, f"more than {MAX_NAMES} numbers"))
+        value = next_value(record.last if record else None)
+        return await after_write(self.control, [put(NumberRecord(value), name)], answer(value=value))
--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -9,16 +9,27 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
+from otterreach.controller.api import watches
 from otterreach.controller.api.configuration import ConfigurationResource
+from otterreach.controller.api.coordination_answers import UNCLEAR
+from otterreach.controller.api.forwarding import Forwarder
+from otterreach.controller.api.keys import KeyResource
+from otterreach.controller.api.locks import LockResource
+from otterreach.controller.api.numbers import NumberResource
 from otterreach.controller.api.resource import NOT_FOUND, UNAVAILABLE, Resource, last_segment
 from otterreach.controller.api.retirement import RetirementResource
 from otterreach.controller.api.servers import ServerHeartbeats, ServerResource, merge_heartbeat, read_heartbeat
 from otterreach.controller.api.versions import VersionResource
+from otterreach.controller.api.watches import WatchResource
+from otterreach.controller.group_histories import FollowedHistories
 from otterreach.controller.messages import ApiCall, ApiResponse
 from otterreach.controller.planner import StoreMembers
+from otterreach.controller.receipt_times import ReceiptTimes
 from otterreach.controller.replication import ControlReplication
 from otterreach.controller.survival import limits_of
+from otterreach.controller.watch_hub import WatchHub
 from otterreach.runtime.codes import Failure
 from otterreach.runtime.http import Reply
 from otterreach.runtime.records import ServerRecord
@@ -29,19 +40,39 @@
 
 ANSWER_TIMEOUT_S = 0.8  # the primary answers within this
 FORWARD_EXTRA_S = 0.05  # so much longer a controller that forwarded a call waits for the primary
-PRIMARY_CHECK_S = 0.05  # between two looks whether the primary that a call was forwarded to is still heard
 BODY_BYTES_PER_S = 2_000_000  # callers are more patient with large bodies
 MAX_STATE_AGE_S = 1.0  # a controller answers from its own replica only while that is not older
+HISTORY_MARGIN_S = 10.0  # the events of puts stay for so much longer than watches may resume from
 
 CONFIGURATION = "config"
 SERVERS = "servers"
 VERSIONS = "version-put"
 RETIREMENTS = "retire"
+LOCKS = "locks"
+NUMBERS = "numbers"
+KEYS = "cells"
+WATCHES = "watch"
+COORDINATION = frozenset({LOCKS, NUMBERS, KEYS, WATCHES})
+
+
+@dataclass(frozen=True, slots=True)
+class CoordinationParts:
+    """What a controller keeps in memory for locks and watches."""
+
+    receipts: ReceiptTimes
+    hub: WatchHub
+    stalled: Callable[[], bool]  # whether this process has just stood still
 
 
 def answer_within_s(call: ApiCall) -> float:
     """How long the primary may take for a call."""
-    return ANSWER_TIMEOUT_S + len(call.body) / BODY_BYTES_PER_S
+    waiting_s = watches.wait_s(call) if _resource_name(call) == WATCHES else 0.0
+    return ANSWER_TIMEOUT_S + waiting_s + len(call.body) / BODY_BYTES_PER_S
+
+
+def changes_coordination(call: ApiCall) -> bool:
+    """Whether a call may change a lock, a number or a key: then 503 says that it hasn't."""
+    return call.method != "GET" and _resource_name(call) in COORDINATION
 
 
 class ApiRouter:
@@ -54,27 +85,39 @@
         follower: Follower,
         stores: Callable[[], StoreMembers | None],
         heartbeats: ServerHeartbeats,
+        coordination: CoordinationParts,
     ) -> None:
         """:param stores: the job store nodes that are alive; None while that is not known."""
         self.control = control
         self.follower = follower
         self.heartbeats = heartbeats
+        self.coordination = coordination
+        self.forwarder = Forwarder(control)
         published = follower.store
+        histories = FollowedHistories()
+        receipts = coordination.receipts
+        kept_s = settings.bounds.history_s + HISTORY_MARGIN_S
         self.resources: dict[str, Resource] = {
             CONFIGURATION: ConfigurationResource(control, published),
             SERVERS: ServerResource(control, heartbeats, settings.heartbeat_s),
             VERSIONS: VersionResource(control),
             RETIREMENTS: RetirementResource(control, published, stores, limits_of(settings)),
+            LOCKS: LockResource(control, receipts),
+            NUMBERS: NumberResource(control),
+            KEYS: KeyResource(control, histories, receipts, kept_s),
+            WATCHES: WatchResource(control, histories, coordination.hub),
         }
         control.endpoint.on(ApiCall, self.handle_forwarded)
 
     async def handle(self, request: http1.Request) -> Reply:
         """A call as it came in over HTTP."""
+        path, _, query = request.target.partition(b"?")
         call = ApiCall(
             request.method.decode("latin-1"),
-            request.target.partition(b"?")[0].decode("latin-1"),
+            path.decode("latin-1"),
             request.headers.get(b"if-match", b"").decode("latin-1"),
             request.body,
+            query.decode("latin-1"),
         )
         name = _resource_name(call)
         if name not in self.resources:
@@ -83,6 +126,8 @@
             self.heartbeats.record_server_heartbeat(last_segment(call.path))
             if self._is_known_heartbeat(call):
                 return Reply(200, b"{}")
+        if changes_coordination(call) and self.coordination.stalled():
+            return Reply(UNAVAILABLE.status)  # the caller has left, and has sent the call to another controller
         answer = await (self._decide(call) if self.control.is_primary else self._forward(call))
         return Reply(answer.status, answer.body)
 
@@ -108,21 +153,19 @@
             async with asyncio.timeout(answer_within_s(call)):
                 return await resource.handle(call)
         except TimeoutError:
-            return UNAVAILABLE
+            return UNCLEAR if changes_coordination(call) else UNAVAILABLE
 
     async def _forward(self, call: ApiCall) -> ApiResponse:
-        """The primary's answer; UNAVAILABLE as soon as the primary is not heard any more."""
-        address = self.control.live_primary_address
-        if not address:
-            return UNAVAILABLE
-        timeout_s = answer_within_s(call) + FORWARD_EXTRA_S
-        asked = self.control.endpoint.spawn(self.control.endpoint.call(address, call, timeout_s))
-        while not asked.done():
-            await asyncio.wait([asked], timeout=PRIMARY_CHECK_S)
-            if not asked.done() and self.control.live_primary_address != address:
-                return UNAVAILABLE
-        answer = asked.result()
-        return UNAVAILABLE if isinstance(answer, Failure) else answer
+        """The primary's answer, or that there is none."""
+        answer = await self.forwarder.forward(call, answer_within_s(call) + FORWARD_EXTRA_S)
+        if not isinstance(answer, Failure):
+            return answer
+        return UNCLEAR if answer.maybe_done and changes_coordination(call) else UNAVAILABLE
+
+    def abandon_waiting_calls(self) -> None:
+        """This controller shuts down: answer what waits for the primary, or for an event."""
+        self.forwarder.abandon()
+        self.coordination.hub.abandon()
 
     async def handle_forwarded(self, link: Link, call: ApiCall) -> ApiResponse | Failure:
         """A call that another controller forwarded."""
--- a/otterreach/controller/local_replica.py
+++ b/otterreach/controller/local_replica.py
@@ -20,7 +20,7 @@
 from otterreach.runtime.journal_format import Record
 from otterreach.runtime.log import log
 from otterreach.runtime.settings import Settings
-from otterreach.runtime.store import ReplicatedStore
+from otterreach.runtime.store import Item, ReplicatedStore
 
 STAGING_IDLE_S = 10.0  # a transfer that stopped for so long no longer delays a rewrite of the journal
 SLICE_BYTES = 32 * 1024  # of the state, encoded in one turn of the loop
@@ -63,6 +63,9 @@
         self.newer: EpochConfiguration | None = None  # one above the accepted one, heard of
         self.on_mode_change: list[Callable[[Mode, Mode], None]] = []
         self.on_step_down: list[Callable[[], None]] = []
+        self.on_items: list[
+            Callable[[Iterable[Item]], None]
+        ] = []  # called with items that have just come into the state
 
     # The journal ---------------------------------------------------------------------------------
 
@@ -74,6 +77,7 @@
         self.store = replay.store
         self.staged = replay.staged
         self.collect_tombstones()
+        self._notify_items(self.store.items.values())
         if not self.id:
             self.id = identity.draw_disk_id()
             self.uninitialised = self.settings.bootstrap
@@ -120,6 +124,14 @@
         self.staged = None
         return True
 
+    def apply_items(self, items: Iterable[Item]) -> None:
+        """Apply what is newer to the state in memory. The journal is the caller's."""
+        self._notify_items(self.store.apply(items))
+
+    def _notify_items(self, items: Iterable[Item]) -> None:
+        for observer in self.on_items:
+            observer(items)
+
     def collect_tombstones(self) -> None:
         """Drop those that the state itself says are to be dropped: it is complete, so nothing else is missing."""
         self.store.collect(revision_to_collect(self.store))
@@ -168,6 +180,7 @@
         self.store = self.staged
         self.staged = None
         self.promised = max(self.promised, number)
+        self._notify_items(self.store.items.values())
 
     # Epochs --------------------------------------------------------------------------------------
 
--- a/otterreach/controller/messages.py
+++ b/otterreach/controller/messages.py
@@ -224,3 +224,4 @@
     path: str
     match: str  # the If-Match header
     body: bytes
+    query: str = ""  # of the path
--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -5,16 +5,19 @@
 import asyncio
 from collections.abc import Iterable
 
-from otterreach.controller.api.router import ApiRouter
+from otterreach.controller.api.router import ApiRouter, CoordinationParts
 from otterreach.controller.failure_detector import FailureDetector
+from otterreach.controller.lock_collection import LockCollection
 from otterreach.controller.member_registry import MemberRegistry
 from otterreach.controller.order_leases import OrderLeases
 from otterreach.controller.partition_placement import PartitionPlacement
 from otterreach.controller.planner import StoreMembers
+from otterreach.controller.receipt_times import ReceiptTimes
 from otterreach.controller.replication import ControlReplication
 from otterreach.controller.server_registry import ServerRegistry
 from otterreach.controller.store_registry import StoreRegistry
 from otterreach.controller.survival import limits_of
+from otterreach.controller.watch_hub import WatchHub
 from otterreach.controller.watcher import Watcher
 from otterreach.runtime.http import JsonServer
 from otterreach.runtime.journal import Journal
@@ -27,6 +30,7 @@
 API_BIND = "ctl"  # the name of the API's address in the settings
 PLAN_INTERVAL_S = 0.2
 STALL_S = 0.4  # the loop stood still for longer: nobody else is to blame for silence
+STALL_REFUSAL_S = 0.1  # after a stall: so long calls may come in that were sent before it
 STABILIZATION_S = 1.0  # after becoming primary, or a stall, before anyone is taken to be dead
 
 
@@ -51,9 +55,19 @@
         self.placement = PartitionPlacement(endpoint, self.control, self.stores, limits, clock)
         self.servers = ServerRegistry(settings, endpoint, self.control, self.detector)
         self.leases = OrderLeases(settings, endpoint, self.control, self.members, clock)
-        self.api = ApiRouter(settings, self.control, node.follower, self._stores_once_stable, self.detector)
+        self.receipts = ReceiptTimes(clock)
+        self.watches = WatchHub()
+        self.control.on_items(self.receipts.observe)
+        self.control.on_committed(self.watches.items_committed)
+        self.lock_collection = LockCollection(self.control, self.receipts, clock)
+        coordination = CoordinationParts(self.receipts, self.watches, self._has_just_stalled)
+        self.api = ApiRouter(
+            settings, self.control, node.follower, self._stores_once_stable, self.detector, coordination
+        )
         self.server = JsonServer(self.api.handle)
         self._stable_from = 0.0  # from then on silence means something
+        self._planned_at = clock()  # the last round of `_plan`, whose rounds tell a stall
+        self._stall_ended_at = -STALL_REFUSAL_S
 
     async def run(self, records: Iterable[Record]) -> None:
         """Load the journal's records and take part until SIGTERM."""
@@ -66,6 +80,7 @@
             self.node.endpoint.spawn(work)
         await self.node.stopping.wait()
         await self.control.leave()
+        self.api.abandon_waiting_calls()
         self.server.stop()
         await self.journal.sync()
 
@@ -75,17 +90,20 @@
         if is_primary:
             self._stable_from = self.clock() + STABILIZATION_S
             self.detector.assume_alive(self.members.member_ids(), self.control.state.records(ServerRecord))
+        else:
+            self.watches.abandon()
 
     async def _plan(self) -> None:
         """Compare the control state with who is there, and propose what is to change; for ever."""
-        last = self.clock()
+        self._planned_at = self.clock()
         while True:
             await asyncio.sleep(PLAN_INTERVAL_S)
             now = self.clock()
-            if now - last > PLAN_INTERVAL_S + STALL_S:
+            if self._is_stalled_at(now):
                 self._stable_from = now + STABILIZATION_S
-                log("stalled", node=self.settings.node, seconds=round(now - last, 2))
-            last = now
+                self._stall_ended_at = now
+                log("stalled", node=self.settings.node, seconds=round(now - self._planned_at, 2))
+            self._planned_at = now
             if self.control.is_primary:
                 self._publish_controllers()
                 if self._is_stable():
@@ -93,6 +111,15 @@
                     self.servers.mark_unresponsive_servers()
                     self.leases.assign_leases()
                     self.members.remove_unresponsive_members()
+                    self.lock_collection.collect_when_due()
+
+    def _is_stalled_at(self, now: float) -> bool:
+        return now - self._planned_at > PLAN_INTERVAL_S + STALL_S
+
+    def _has_just_stalled(self) -> bool:
+        """Whether this process stood still until a moment ago: what comes in now was sent long before."""
+        now = self.clock()
+        return self._is_stalled_at(now) or now - self._stall_ended_at < STALL_REFUSAL_S
 
     def _is_stable(self) -> bool:
         return self.clock() >= self._stable_from
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -134,6 +134,19 @@
         """The answer to a call that has nothing left to change, once what it rests on can't be lost any more."""
         return Done() if await self.committed() else Failure(Code.NOT_SYNCED, "not at all replicas")
 
+    @property
+    def accepts_writes(self) -> bool:
+        """Whether `propose`, called now, changes anything."""
+        return self.primary.writes.accepts_writes
+
+    def on_items(self, observer: Callable[[Iterable[Item]], None]) -> None:
+        """Call `observer` with items that have just come into the state: written, received, loaded or installed."""
+        self.replica.on_items.append(observer)
+
+    def on_committed(self, observer: Callable[[list[Item]], None]) -> None:
+        """Call `observer`, at the primary, with items that all members have from now on."""
+        self.primary.publisher.on_committed.append(observer)
+
     def propose(self, changes: Iterable[tuple[str, bytes]]) -> asyncio.Future[bool]:
         """Change items; an empty value deletes one. True once all members have the changes; False: perhaps not."""
         return self.primary.propose(changes)
@@ -176,6 +189,8 @@
             if self.election.may_bootstrap():
                 await self.election.bootstrap()
             if self.is_primary and not self.election.in_progress:
+                if self.primary.writes.needs_epoch:
+                    await self.election.run()
                 await self.membership.reconcile_members()
                 self._collect_tombstones(now)
             elif self._election_is_due():
--- a/otterreach/controller/writes.py
+++ b/otterreach/controller/writes.py
@@ -32,6 +32,8 @@
 POLL_S = 0.005  # between two looks whether earlier writes are committed
 REPAIR_TIMEOUT_S = 0.8  # a write that waits for a backup's replacement is answered then
 REVISION_BITS = 24  # of an item's revision: the count within its epoch; the epoch's number stands above
+LAST_COUNT = 1 << (REVISION_BITS - 1)  # no write begins behind this count: the largest one still has room
+NEW_EPOCH_COUNT = LAST_COUNT // 2  # from here on the primary begins a new epoch
 
 
 @dataclass(slots=True)
@@ -110,6 +112,18 @@
         while any(not write.answer.done() for write in self._unanswered):
             await asyncio.sleep(POLL_S)
 
+    @property
+    def accepts_writes(self) -> bool:
+        """Whether `propose`, called now, changes anything."""
+        if self.closed or not self.replica.is_primary or self._count_in_epoch > LAST_COUNT:
+            return False
+        return self.heartbeats.contacts.has_majority()
+
+    @property
+    def needs_epoch(self) -> bool:
+        """Whether the revisions of this epoch come to their end."""
+        return self._count_in_epoch >= NEW_EPOCH_COUNT
+
     # The way of a write --------------------------------------------------------------------------
 
     def propose(self, changes: Iterable[tuple[str, bytes]]) -> asyncio.Future[bool]:
@@ -120,14 +134,14 @@
         """
         replica = self.replica
         future: asyncio.Future[bool] = replica.loop.create_future()
-        if self.closed or not replica.is_primary or not self.heartbeats.contacts.has_majority():
+        if not self.accepts_writes:
             future.set_result(False)
             return future
         items = []
         for key, value in changes:
             self._count_in_epoch += 1
             items.append(Item(key, replica.number << REVISION_BITS | self._count_in_epoch, value))
-        replica.store.apply(items)
+        replica.apply_items(items)
         replica.journal.append(JournalKind.ITEMS, encode(AppendItems(replica.number, items)))
         self._submitted += 1
         write = PendingWrite(future, self._submitted, replica.loop.time())
--- a/otterreach/runtime/codes.py
+++ b/otterreach/runtime/codes.py
@@ -39,6 +39,11 @@
     UNKNOWN_NODE = 50  # no such store machine
     TOO_FEW_LEFT = 51  # too few store machines would be left
     SETTINGS = 60  # the settings file can't be used
+    COORDINATION_FIELD = 80  # a field of a call for locks, numbers, keys or watches is missing or can't be used
+    COORDINATION_LIMIT = 81  # too many names, bytes or waiting watches: nothing was done
+    LOCK_HELD = 82  # another owner may hold the lock still
+    LOCK_LOST = 83  # the hold that was to be renewed has ended
+    HISTORY_GONE = 84  # the revision to resume from is older than the events that are kept
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterreach/runtime/settings.py
+++ b/otterreach/runtime/settings.py
@@ -33,6 +33,7 @@
     lease_s: float
     thaw_s: float
     pass_s: float
+    history_s: float
     fenced: bool
 
 
@@ -99,6 +100,7 @@
         lease_s=ms("leaseMs", 3000.0),
         thaw_s=ms("thawMs", 300.0),
         pass_s=ms("pass_ms", 120.0),
+        history_s=row.number("historyS", 20.0),
         fenced=row.flag("fenced"),
     )
 
--- a/otterreach/runtime/store.py
+++ b/otterreach/runtime/store.py
@@ -97,6 +97,10 @@
         items = self._kinds.get(kind.KIND, {})
         return {name: self._decode(kind, items[name]) for name in sorted(items) if not items[name].is_tombstone}
 
+    def count(self, kind: type[Record]) -> int:
+        """How many items of a kind there are, tombstones included."""
+        return len(self._kinds.get(kind.KIND, ()))
+
     def _decode(self, kind: type[R], item: Item) -> R:
         known = self._decoded.get(item.key)
         if known is not None and known[0] == item.revision:
--- a/tests/compatibility/test_messages.py
+++ b/tests/compatibility/test_messages.py
@@ -48,6 +48,7 @@
     "ProxyPing": ["interval_ms"],
     "GiveBack": ["out_of_reach", "failures"],
     "Work": ["failures"],
+    "Operate": ["query"],
 }
 
 
--- a/tests/compatibility/test_surfaces.py
+++ b/tests/compatibility/test_surfaces.py
@@ -59,6 +59,18 @@
     "family-info": {},
 }
 
+# what each surface got since; what it had is as it was
+ADDED: dict[str, Any] = {
+    "codes": {
+        "COORDINATION_FIELD": 80,
+        "COORDINATION_LIMIT": 81,
+        "LOCK_HELD": 82,
+        "LOCK_LOST": 83,
+        "HISTORY_GONE": 84,
+    },
+    "settings_keys": ["slas.historyS"],
+}
+
 
 class RecordingDict(dict[Any, Any]):
     """Notes the path of every key that is asked for, in it and in what it holds."""
@@ -133,4 +145,12 @@
 
 @pytest.mark.parametrize("surface", sorted(SURFACES))
 def test_a_surface_is_as_it_was(surface: str) -> None:
-    assert present_surfaces()[surface] == SURFACES[surface]
+    assert present_surfaces()[surface] == with_additions(SURFACES[surface], ADDED.get(surface))
+
+
+def with_additions(recorded: Any, added: Any) -> Any:
+    """A surface as it was recorded, and what it got since, which is new."""
+    if added is None:
+        return recorded
+    assert not set(recorded) & set(added)
+    return recorded | added if isinstance(recorded, dict) else sorted([*recorded, *added])
--- a/tests/controller/test_control_api_router.py
+++ b/tests/controller/test_control_api_router.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import unittest
+from types import SimpleNamespace
 from typing import Any
 
 from otterreach.controller.api import router
-from otterreach.controller.api.router import ApiRouter
+from otterreach.controller.api.router import ApiRouter, CoordinationParts
 from otterreach.controller.messages import ApiCall
 from otterreach.controller.planner import StoreMembers
+from otterreach.controller.receipt_times import ReceiptTimes
+from otterreach.controller.watch_hub import WatchHub
 from otterreach.runtime.codes import Code
 from otterreach.runtime.store import ReplicatedStore
 from otterreach.sidecar import http1
@@ -26,11 +29,20 @@
 
 class RouterTest(Case):
     def stage(self, control: StagedControl) -> tuple[ApiRouter, Follower, list[str]]:
-        values = {"survive_nodes": 1, "survive_zones": 0, "survive_regions": 0, "heartbeat_s": HEARTBEAT_S}
+        bounds = SimpleNamespace(history_s=20.0)
+        values: dict[str, object] = {
+            "survive_nodes": 1,
+            "survive_zones": 0,
+            "survive_regions": 0,
+            "heartbeat_s": HEARTBEAT_S,
+        }
+        values["bounds"] = bounds
         settings: Any = type("Settings", (), values)
         follower, heartbeats = Follower(control.published), StagedHeartbeats()
         parts: Any = control, follower
-        return ApiRouter(settings, parts[0], parts[1], lambda: StoreMembers({}), heartbeats), follower, heartbeats.heard
+        coordination = CoordinationParts(ReceiptTimes(asyncio.get_running_loop().time), WatchHub(), lambda: False)
+        api = ApiRouter(settings, parts[0], parts[1], lambda: StoreMembers({}), heartbeats, coordination)
+        return api, follower, heartbeats.heard
 
     def request(self, call: ApiCall) -> http1.Request:
         headers = {b"if-match": call.match.encode()}
