otterreach.soak: real controllers under disruptions that overlap, judged by the checkers

Cause: nothing played locks, numbers, keys and watches with real processes, signals and disks; the simulation has neither.

Change: python3 -m otterreach.soak starts controllers (and job store nodes and proxies on request) and draws SIGTERM, SIGKILL, SIGSTOP, SIGHUP, restarts, lost disks, replaced machines, changes of the configuration and losses of all power from a seed. They overlap, also on one process. A lost disk counts until every process has run for syncS. The callers and checkers are those of the simulation, over connections that stay open until the process is gone. At the end everything acknowledged is asked for again.

Needs the simulation's modules of coordination.

--- a/otterreach/loadtest/machines.py
+++ b/otterreach/loadtest/machines.py
@@ -77,6 +77,11 @@
         """Whether its process is there."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """How the last process ended; None while it runs, or before the first one."""
+        return self._process.returncode if self._process else None
+
     def settings(self, plan: Plan, seeds: list[str], bounds: dict[str, Any]) -> dict[str, Any]:
         """What its process is told."""
         binds = {
@@ -108,10 +113,14 @@
             "slas": bounds,
         }
 
-    async def start(self, plan: Plan, seeds: list[str], bounds: dict[str, Any]) -> None:
-        """Write the settings and start the process."""
+    def write_settings(self, plan: Plan, seeds: list[str], bounds: dict[str, Any]) -> None:
+        """Write the settings file."""
         self.file.parent.mkdir(parents=True, exist_ok=True)
         self.file.write_text(yaml.safe_dump(self.settings(plan, seeds, bounds), sort_keys=False))
+
+    async def start(self, plan: Plan, seeds: list[str], bounds: dict[str, Any]) -> None:
+        """Write the settings and start the process."""
+        self.write_settings(plan, seeds, bounds)
         if self.kind != "front":
             self.disk.mkdir(parents=True, exist_ok=True)
         logs = self.folder / "logs"
@@ -138,7 +147,8 @@
         if self.wanted and process is self._process:
             self.ends += 1
 
-    def _signal(self, number: int) -> None:
+    def send_signal(self, number: int) -> None:
+        """Signal the present process, if there is one."""
         if self.running and self._process:
             with suppress(ProcessLookupError):
                 self._process.send_signal(number)
@@ -158,7 +168,7 @@
         """SIGKILL; it is not started again."""
         self.measure()
         self.wanted = False
-        self._signal(signal.SIGKILL)
+        self.send_signal(signal.SIGKILL)
         if self._process:
             await self._process.wait()
 
@@ -168,16 +178,16 @@
 
     async def freeze(self, for_s: float) -> None:
         """SIGSTOP for a time."""
-        self._signal(signal.SIGSTOP)
+        self.send_signal(signal.SIGSTOP)
         await asyncio.sleep(for_s)
-        self._signal(signal.SIGCONT)
+        self.send_signal(signal.SIGCONT)
 
     async def stop(self, grace_s: float) -> None:
         """SIGTERM, and SIGKILL after the time of grace."""
         self.measure()
         self.wanted = False
-        self._signal(signal.SIGCONT)
-        self._signal(signal.SIGTERM)
+        self.send_signal(signal.SIGCONT)
+        self.send_signal(signal.SIGTERM)
         if self._process:
             try:
                 await asyncio.wait_for(self._process.wait(), grace_s)
--- /dev/null
+++ b/otterreach/soak/callers.py
@@ -0,0 +1,77 @@
+"""The applications of a soak: those of the simulation, over real connections."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+
+from otterreach.simulation.coordination_audit import FinalAudit
+from otterreach.simulation.coordination_callers import request_number
+from otterreach.simulation.coordination_client import CoordinationClient, WireFaults
+from otterreach.simulation.coordination_population import Population, PopulationSetup
+from otterreach.soak.wire import OpenConnectionClient, random_of
+
+SERVED_POLL_S = 0.1
+PROBE_NUMBER = "n0"
+
+
+class SoakPopulation(Population):
+    """Callers that keep their connections open, and whose answers nobody loses on purpose."""
+
+    def __init__(
+        self,
+        setup: PopulationSetup,
+        random: Random,
+        addresses: Callable[[], list[str]],
+        history_s: float,
+        stopping: Callable[[], bool],
+    ) -> None:
+        self.clients: list[OpenConnectionClient] = []
+        super().__init__(setup, random, addresses, history_s, stopping)
+
+    def client(self) -> CoordinationClient:
+        """A caller with connections of its own."""
+        return self._client()
+
+    def _client(self) -> CoordinationClient:
+        client = OpenConnectionClient(random_of(self.random), self.addresses, WireFaults(), self.history)
+        self.clients.append(client)
+        return client
+
+    async def audit(self) -> None:
+        """Ask for everything again."""
+        await FinalAudit(self._client()).run(self.locks, self.numbers, self.keys, self.watchers)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for client in self.clients:
+            client.close()
+
+
+def population_setup(random: Random, scale: int) -> PopulationSetup:
+    """As many callers as the scale says, on names that grow in number with them."""
+    return PopulationSetup(
+        lock_callers=4 * scale,
+        locks=random.choice([1, 2, 3]) * scale,
+        number_callers=2 * scale,
+        numbers=2,
+        putters=3 * scale,
+        readers=2 * scale,
+        watchers=3 * scale,
+        groups=random.choice([1, 2]) * scale,
+        keys_of_group=random.choice([1, 3]),
+    )
+
+
+async def wait_until_served(population: SoakPopulation, within_s: float) -> bool:
+    """Ask for a number until one comes; whether one came in time."""
+    loop = asyncio.get_running_loop()
+    end = loop.time() + within_s
+    client = population.client()
+    while loop.time() < end:
+        call = await request_number(client, PROBE_NUMBER)
+        if call.is_ok:
+            return True
+        await asyncio.sleep(SERVED_POLL_S)
+    return False
--- /dev/null
+++ b/otterreach/soak/result.py
@@ -0,0 +1,65 @@
+"""What came of a soak: the rules that were broken, and the figures."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+from otterreach.simulation.coordination_history import CoordinationHistory, Rule, Violation
+from otterreach.soak.disruptions import Disruption
+from otterreach.soak.setup import SoakSetup
+
+MAX_SHOWN = 10
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """One soak. `late`: answers that came later than a second in calm times; they break no rule."""
+
+    setup: SoakSetup
+    violations: list[str] = field(default_factory=list)
+    late: list[str] = field(default_factory=list)
+    calls: dict[str, dict[str, int]] = field(default_factory=dict)  # by kind of call: by status
+    disruptions: list[Disruption] = field(default_factory=list)
+    processes: int = 0
+    peak_mb: float = 0.0  # of all processes that ran, each at its highest
+    served_after_s: float = 0.0  # from the last disturbance until a call was served again
+
+    def add(self, violations: Sequence[Violation]) -> None:
+        """Sort what the checkers have found."""
+        for violation in violations:
+            found = self.late if violation.rule is Rule.PROMPT else self.violations
+            found.append(f"{violation.rule.name}: {violation.what}")
+
+    def count(self, history: CoordinationHistory) -> None:
+        """Count the calls by kind and status."""
+        for call in history.calls():
+            kind = type(call).__name__
+            counts = self.calls.setdefault(kind, {})
+            counts[str(call.status)] = counts.get(str(call.status), 0) + 1
+
+    def write(self, folder: Path) -> None:
+        """Write everything as JSON into a folder."""
+        folder.mkdir(parents=True, exist_ok=True)
+        (folder / "result.json").write_text(json.dumps(asdict(self), indent=1))
+
+    def line(self) -> str:
+        """The result in one line."""
+        setup = self.setup
+        statuses: Counter[str] = Counter()
+        for counts in self.calls.values():
+            statuses.update(counts)
+        shown = " ".join(f"{status}:{count}" for status, count in sorted(statuses.items()))
+        verdict = f"{len(self.violations)} VIOLATIONS" if self.violations else "no rule broken"
+        return (
+            f"seed {setup.seed}: {verdict}; {setup.controllers} controllers, survive {setup.survive}, "
+            f"{self.processes} processes, {len(self.disruptions)} disruptions, calls {shown}, "
+            f"{len(self.late)} late, served after {self.served_after_s:.1f} s, {self.peak_mb:.0f} MB"
+        )
+
+    def details(self) -> str:
+        """The first violations."""
+        return "\n".join(f"  {what}" for what in self.violations[:MAX_SHOWN])
--- /dev/null
+++ b/otterreach/soak/setup.py
@@ -0,0 +1,67 @@
+"""What a soak consists of, drawn from its seed or given on the command line."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from otterreach.loadtest.plan import BOUNDS, Machines, Plan, Route, Service
+
+HISTORY_S = 20.0
+FREE_S = 1.5
+SOAK_BOUNDS: dict[str, Any] = BOUNDS | {"historyS": HISTORY_S, "freeMs": FREE_S * 1000.0}
+SMALL_CORE = 3  # controllers, of which one may lose its disk
+LARGE_CORE = 5  # controllers, of which two may lose their disks
+MAJORITY_LOSS_SHARE = 0.3  # of the soaks
+FINAL_POWER_LOSS_SHARE = 0.4  # of the soaks
+PAUSES_S = (0.7, 1.5, 3.0)
+
+
+@dataclass(frozen=True, slots=True)
+class SoakSetup:
+    """One soak. Times in seconds."""
+
+    seed: int
+    seconds: float
+    controllers: int
+    jobstores: int
+    proxies: int
+    survive: int  # how many disks may be lost at once
+    mean_pause_s: float  # between two disruptions
+    may_lose_majority: bool
+    final_power_loss: bool
+    callers_scale: int = 1
+
+    @classmethod
+    def draw(
+        cls, seed: int, seconds: float, *, jobstores: int = 0, proxies: int = 0, callers_scale: int = 1
+    ) -> SoakSetup:
+        """A setup drawn from the seed, with as many other processes as are given."""
+        random = Random(seed ^ 0x50AC)
+        controllers = random.choice([SMALL_CORE, LARGE_CORE])
+        return cls(
+            seed=seed,
+            seconds=seconds,
+            controllers=controllers,
+            jobstores=jobstores,
+            proxies=proxies,
+            survive=1 if controllers == SMALL_CORE else 2,
+            mean_pause_s=random.choice(PAUSES_S),
+            may_lose_majority=random.random() < MAJORITY_LOSS_SHARE,
+            final_power_loss=random.random() < FINAL_POWER_LOSS_SHARE,
+            callers_scale=callers_scale,
+        )
+
+    def plan(self) -> Plan:
+        """The machines and the configuration, as the load test describes them."""
+        return Plan(
+            name="soak",
+            seconds=self.seconds,
+            machines=Machines(self.proxies, self.jobstores, self.controllers),
+            zones=[f"hall-{letter}" for letter in "abcde"[: self.controllers]],
+            survive=self.survive,
+            seed=self.seed,
+            service=[Service("marker")],
+            route=[Route("lookup", "/lookup/", "marker")],
+        )
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of otterreach.soak."""
