--- a/tests/project/test_layout.py
+++ b/tests/project/test_layout.py
@@ -4,6 +4,7 @@
 
 import ast
 import re
+import tomllib
 from collections.abc import Iterator
 from graphlib import CycleError, TopologicalSorter
 from pathlib import Path
@@ -95,3 +96,10 @@
 
 def test_a_circle_is_found() -> None:
     assert set(find_circle({"a": {"b"}, "b": {"c"}, "c": {"a"}, "d": {"a"}})) == {"a", "b", "c"}
+
+
+def test_every_package_is_installed() -> None:
+    """An installed system once lacked a package that its controllers import."""
+    listed = tomllib.loads((ROOT / "pyproject.toml").read_text())["tool"]["setuptools"]["packages"]
+    found = [module_name(file) for file in SOURCE.rglob("__init__.py")]
+    assert sorted(listed) == sorted(found)
