--- a/otterreach/cli/__main__.py
+++ b/otterreach/cli/__main__.py
@@ -6,12 +6,18 @@
 import sys
 from collections.abc import Sequence
 
-from otterreach.cli import configuration_commands, local_commands, losses, state_commands
+from otterreach.cli import configuration_commands, coordination_commands, local_commands, losses, state_commands
 from otterreach.cli.app import app
 from otterreach.cli.codes import FAULT
 
 __all__ = ["app", "main", "run_command_line"]
-COMMANDS = (local_commands, configuration_commands, state_commands, losses)  # importing them adds their commands
+COMMANDS = (
+    local_commands,
+    configuration_commands,
+    state_commands,
+    coordination_commands,
+    losses,
+)  # importing them adds their commands
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/otterreach/cli/codes.py
+++ b/otterreach/cli/codes.py
@@ -15,3 +15,4 @@
     DATA_MISSING = 72  # the data file can't be opened
     DIFFERENT = 73  # the two configurations differ
     NOT_THERE = 74  # nothing of that name, or no configuration yet
+    OTHER_REVISION = 75  # the key is not at the expected revision: nothing was stored
--- a/tests/client/fake_service.py
+++ b/tests/client/fake_service.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 from collections import defaultdict, deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -58,7 +58,7 @@
     """The state that all addresses share, and the faults of the next calls, in their order."""
 
     def __init__(self, loop: virtual.MemoryLoop) -> None:
-        self.loop = loop
+        self.loop = loop  # only its clock is used here: tests of the command line give it a real one
         self.faults: deque[Fault] = deque()
         self.calls: list[Call] = []
         self.holds: dict[str, Hold] = {}
@@ -70,8 +70,8 @@
         self.forgotten: dict[str, int] = defaultdict(int)  # by group: puts up to this revision are gone
         self.changed = asyncio.Event()
 
-    async def listen(self) -> None:
-        for address in ADDRESSES:
+    async def listen(self, addresses: Sequence[str] = ADDRESSES) -> None:
+        for address in addresses:
             host, _, port = address.partition(":")
             await JsonServer(self._at(address)).listen(host, int(port))
 
--- a/tests/compatibility/test_surfaces.py
+++ b/tests/compatibility/test_surfaces.py
@@ -69,6 +69,26 @@
         "HISTORY_GONE": 84,
     },
     "settings_keys": ["slas.historyS"],
+    "exit_codes": {"OTHER_REVISION": 75},
+    "commands": {
+        "lock": [
+            "*",
+            "--controllers",
+            "--ctl",
+            "--hold",
+            "--name",
+            "--owner",
+            "--settings",
+            "--wait",
+            "--within",
+            "COMMAND",
+        ],
+        "elect": ["*", "--controllers", "--ctl", "--hold", "--name", "--owner", "--settings", "--within", "COMMAND"],
+        "number": ["*", "--controllers", "--ctl", "--name", "--settings", "--within"],
+        "get-key": ["*", "--controllers", "--ctl", "--name", "--settings", "--within"],
+        "put-key": ["*", "--controllers", "--ctl", "--expect", "--name", "--settings", "--value", "--within"],
+        "watch-keys": ["*", "--controllers", "--ctl", "--group", "--past", "--settings", "--within"],
+    },
 }
 
 
