otterreach.client: names go out as they are, and unusable ones are rejected at once

Cause: names were percent-encoded, which the service does not undo. A client and a caller on the wire would have meant different locks by one name.

Change: the name stands in the path as it is; one that the service has no such names for raises RequestRejectedError without a call.

--- a/otterreach/client/transport.py
+++ b/otterreach/client/transport.py
@@ -8,11 +8,11 @@
 
 import asyncio
 import json
+import re
 from collections.abc import Sequence
 from dataclasses import dataclass
 from http import HTTPStatus
 from random import Random
-from urllib.parse import quote
 
 from otterreach.client.errors import OutcomeUnknownError, RequestRejectedError, UnavailableError
 from otterreach.runtime.codes import Failure
@@ -27,6 +27,7 @@
 REFUSED = (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 ANSWERS = (HTTPStatus.OK, HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT, HTTPStatus.GONE, HTTPStatus.PRECONDITION_FAILED)
 JsonValue = str | int
+_NAME = re.compile(r"[^/?#\x00-\x20\x7f-\U0010ffff]+")
 EMPTY: dict[str, JsonValue] = {}
 
 
@@ -41,9 +42,14 @@
 
     @classmethod
     def to(cls, kind: str, name: str, method: str, document: dict[str, JsonValue] | None = None) -> Call:
-        """A call on a named resource, with a JSON body where a document is given."""
+        """A call on a named resource, with a JSON body where a document is given.
+
+        Raises RequestRejectedError if the service has no such names.
+        """
+        if not _NAME.fullmatch(name):
+            raise RequestRejectedError(HTTPStatus.BAD_REQUEST, f"{name!r}: printable ASCII without / ? # is needed")
         body = b"" if document is None else json.dumps(document).encode()
-        return cls(method, f"/{kind}/{quote(name, safe='')}", body)
+        return cls(method, f"/{kind}/{name}", body)
 
 
 @dataclass(frozen=True, slots=True)
--- a/otterreach/client/watches.py
+++ b/otterreach/client/watches.py
@@ -6,7 +6,6 @@
 from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, replace
 from http import HTTPStatus
-from urllib.parse import quote
 
 from otterreach.client.cells import ABSENT_REVISION, Cell, Cells
 from otterreach.client.errors import OutcomeUnknownError, RequestRejectedError, UnavailableError
@@ -91,8 +90,9 @@
 
     async def _ask(self, group: str, past: int, wait_s: float) -> Answer:
         """A clear answer, however long that takes."""
-        path = f"/watch/{quote(group, safe='')}?past={past}&waitMs={round(wait_s * MS_PER_S)}"
-        call = replace(Call("GET", path), wait_s=wait_s)
+        named = Call.to("watch", group, "GET")
+        query = f"?past={past}&waitMs={round(wait_s * MS_PER_S)}"
+        call = replace(named, path=named.path + query, wait_s=wait_s)
         backoff = Backoff(self._transport.random)
         while True:
             try:
