Soak: stalls of the machine are kept beside late answers; settings are written whole

Change: a monitor notes slow syncs and late timers with their times; logs are kept when answers were late; a settings file is replaced as a whole.

--- a/otterreach/loadtest/machines.py
+++ b/otterreach/loadtest/machines.py
@@ -114,9 +114,11 @@
         }
 
     def write_settings(self, plan: Plan, seeds: list[str], bounds: dict[str, Any]) -> None:
-        """Write the settings file."""
+        """Write the settings file, whole at any moment: a process may start and read it meanwhile."""
         self.file.parent.mkdir(parents=True, exist_ok=True)
-        self.file.write_text(yaml.safe_dump(self.settings(plan, seeds, bounds), sort_keys=False))
+        new = self.file.with_suffix(".new")
+        new.write_text(yaml.safe_dump(self.settings(plan, seeds, bounds), sort_keys=False))
+        new.replace(self.file)
 
     async def start(self, plan: Plan, seeds: list[str], bounds: dict[str, Any]) -> None:
         """Write the settings and start the process."""
--- a/otterreach/soak/__main__.py
+++ b/otterreach/soak/__main__.py
@@ -67,7 +67,7 @@
     callers: int = 1
     "A multiple of the usual number of callers."
     out: Path | None = None
-    "A folder for results, and for logs and disks of soaks that broke a rule."
+    "A folder for results, and for logs and disks of soaks that broke a rule or were late."
     quiet: bool = False
     "Only one line for each seed."
 
@@ -91,10 +91,10 @@
     print(result.line(), flush=True)
     if result.violations:
         print(f"{result.details()}\n  kept in {folder}", flush=True)
-        return False
-    for part in ("disk", "logs", "settings"):
-        shutil.rmtree(folder / part, ignore_errors=True)
-    return True
+    elif not result.late:
+        for part in ("disk", "host", "logs", "settings"):
+            shutil.rmtree(folder / part, ignore_errors=True)
+    return not result.violations
 
 
 @app.default
--- a/otterreach/soak/result.py
+++ b/otterreach/soak/result.py
@@ -10,6 +10,7 @@
 
 from otterreach.simulation.coordination_history import CoordinationHistory, Rule, Violation
 from otterreach.soak.disruptions import Disruption
+from otterreach.soak.host import HostStall
 from otterreach.soak.setup import SoakSetup
 
 MAX_SHOWN = 10
@@ -24,6 +25,7 @@
     late: list[str] = field(default_factory=list)
     calls: dict[str, dict[str, int]] = field(default_factory=dict)  # by kind of call: by status
     disruptions: list[Disruption] = field(default_factory=list)
+    host_stalls: list[HostStall] = field(default_factory=list)
     processes: int = 0
     peak_mb: float = 0.0  # of all processes that ran, each at its highest
     served_after_s: float = 0.0  # from the last disturbance until a call was served again
@@ -57,7 +59,8 @@
         return (
             f"seed {setup.seed}: {verdict}; {setup.controllers} controllers, survive {setup.survive}, "
             f"{self.processes} processes, {len(self.disruptions)} disruptions, calls {shown}, "
-            f"{len(self.late)} late, served after {self.served_after_s:.1f} s, {self.peak_mb:.0f} MB"
+            f"{len(self.late)} late, {len(self.host_stalls)} host stalls, "
+            f"served after {self.served_after_s:.1f} s, {self.peak_mb:.0f} MB"
         )
 
     def details(self) -> str:
--- a/otterreach/soak/run.py
+++ b/otterreach/soak/run.py
@@ -13,6 +13,7 @@
 from otterreach.soak.callers import SoakPopulation, population_setup, wait_until_served
 from otterreach.soak.disruptions import Disruptor, lose_power
 from otterreach.soak.fleet import Fleet
+from otterreach.soak.host import HostMonitor
 from otterreach.soak.operator import ConfigurationOperator
 from otterreach.soak.result import SoakResult
 from otterreach.soak.setup import FREE_S, HISTORY_S, SOAK_BOUNDS, SoakSetup
@@ -52,6 +53,7 @@
             lambda: self.stopping,
         )
         self.stopping = False
+        self.host = HostMonitor(folder / "host")
         self.calm: list[CalmSpan] = []
         self.result = SoakResult(setup, processes=len(self.fleet.system.machines))
         self._tasks: set[asyncio.Task[None]] = set()
@@ -91,6 +93,7 @@
 
     async def _disturb(self) -> None:
         self._spawn(self.fleet.supervise())
+        self._spawn(self.host.run())
         self._spawn(self._note_calm())
         self.callers = [self._spawn(work) for work in self.population.works()]
         await asyncio.sleep(FORMATION_S)
@@ -144,5 +147,6 @@
         result = self.result
         result.violations += self.fleet.unexpected_ends
         result.disruptions = self.disruptor.done
+        result.host_stalls = self.host.stalls
         result.count(self.population.history)
         result.peak_mb = round(sum(machine.used.peak_mb for machine in self.fleet.system.machines), 1)
