Controllers: joiners of use only together are added though they ask apart

Cause: each reconciliation forgot who had asked to join, and a fourth voter alone makes the loss of a zone worse. Two that asked at different times of the same period were never considered together.

Change: a request to join counts for a second; a machine that asks with another disk takes the place of its former request.

--- a/otterreach/controller/membership.py
+++ b/otterreach/controller/membership.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 from otterreach.controller.election import CALL_TIMEOUT_S, Election
 from otterreach.controller.epochs import ControllerInfo, EpochConfiguration
 from otterreach.controller.formation import Formation, MembershipChange
@@ -23,9 +25,18 @@
 SHUTDOWN_VALID_S = 10.0  # a controller that announced its shutdown gets no replica for so long
 IMPROVE_INTERVAL_S = 2.0  # between two attempts to make the backups survive every allowed loss
 JOIN_INTERVAL_S = 0.3  # between two requests to join, and of silence before the first
+JOINER_VALID_S = 1.0  # a request to join counts for so long: some controllers are of use only together
 SUSPECT_AFTER_S = 1.0  # silent for longer: last in the order of preference for voters
 
 
+@dataclass(frozen=True, slots=True)
+class Joiner:
+    """A controller that asked to join."""
+
+    controller: ControllerInfo
+    asked_at: float
+
+
 class Membership:
     """Reconciles the configuration with who is there; asks to join where this controller is outside."""
 
@@ -46,7 +57,7 @@
         self.primary = primary
         self.settings = replica.settings
         self.preparation = Preparation(replica, formation.snapshots)
-        self.joiners: dict[str, ControllerInfo] = {}
+        self.joiners: dict[str, Joiner] = {}  # by node: a machine with another disk takes the place of the former
         self._shutdown_at: dict[str, float] = {}  # by id: when a controller announced its shutdown
         self._improved_at = -IMPROVE_INTERVAL_S
         self.asked_to_join_at = replica.loop.time()
@@ -61,7 +72,7 @@
             return self.replica.not_primary()
         (controller,) = request.controller
         if configuration.witness(controller.id) is None:
-            self.joiners[controller.id] = controller
+            self.joiners[controller.node] = Joiner(controller, self.replica.loop.time())
         return Done()
 
     def record_shutdown(self, ident: str) -> None:
@@ -116,8 +127,7 @@
         Removed are those that a joiner replaces, who upset the balance of zones, or who were silent for long while the
         others still survive each allowed loss.
         """
-        joiners = [joiner for joiner in self.joiners.values() if configuration.witness(joiner.id) is None]
-        self.joiners.clear()
+        joiners = self._joiners_outside(configuration)
         replaced = {joiner.address for joiner in joiners} | {joiner.node for joiner in joiners}
         stay = [w for w in configuration.witnesses if w.address not in replaced and w.node not in replaced]
         domains = self.formation.domains([*configuration.witnesses, *joiners])
@@ -137,6 +147,16 @@
             avoid=self.shutting_down,
         )
 
+    def _joiners_outside(self, configuration: EpochConfiguration) -> list[ControllerInfo]:
+        """Who asked to join a moment ago and isn't in the configuration; the others are forgotten."""
+        asked_since = self.replica.loop.time() - JOINER_VALID_S
+        self.joiners = {
+            node: joiner
+            for node, joiner in self.joiners.items()
+            if joiner.asked_at > asked_since and configuration.witness(joiner.controller.id) is None
+        }
+        return [joiner.controller for joiner in self.joiners.values()]
+
     def _better_backups(self, configuration: EpochConfiguration, since_contact_s: dict[str, float]) -> list[str]:
         """Whom to make backups because the present ones don't survive every allowed loss; looked for now and then."""
         now = self.replica.loop.time()
--- a/tests/controller/controller_world.py
+++ b/tests/controller/controller_world.py
@@ -26,8 +26,14 @@
     """Controllers core-0, core-1, ... in the zones given; the first three are the seeds."""
 
     def __init__(
-        self, zones: Iterable[int] = (0, 1, 2, 0, 1), seed: int = 1, survive: dict[str, int] | None = None
+        self,
+        zones: Iterable[int] = (0, 1, 2, 0, 1),
+        seed: int = 1,
+        survive: dict[str, int] | None = None,
+        start_after_s: dict[str, float] | None = None,
     ) -> None:
+        """:param start_after_s: by name, for those that don't start at once"""
+        self.start_after_s = start_after_s or {}
         self.world = World(seed, slas=SLAS)
         self.survive = {f"survive_{kind}": count for kind, count in (survive or {}).items()}
         for number, zone in enumerate(zones):
@@ -51,7 +57,7 @@
 
         async def whole() -> None:
             for box in self.boxes:
-                self.world.plainly(0.0, box.start)
+                self.world.plainly(self.start_after_s.get(box.name, 0.0), box.start)
             await self.until(self._complete, START_S, "all in one configuration")
             status, _ = await self.put(self.primary, 0, 1, "first")
             assert status == 200, status
--- a/tests/controller/test_membership.py
+++ b/tests/controller/test_membership.py
@@ -143,6 +143,18 @@
         Cluster().play(scene)
 
 
+class JoiningTest(unittest.TestCase):
+    # Guards against a core of five that stays at three voters: two joiners that were of use only together asked apart.
+    def test_joiners_that_are_of_use_only_together_are_added_though_they_ask_apart(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            configuration = cluster.control(cluster.primary).accepted
+            assert configuration is not None
+            self.assertEqual(5, len(configuration.witnesses))
+
+        delays = {"core-3": 0.15, "core-4": 0.3}
+        Cluster(survive={"nodes": 2, "zones": 1}, start_after_s=delays).play(scene)
+
+
 class ReplacementTest(unittest.TestCase):
     def replaced(self, kind: str, zones: tuple[int, ...] = (0, 1, 2)) -> None:
         """An empty disk at the same address; from SYNC_S after it the next such loss is borne."""
