--- a/tests/controller/controller_world.py
+++ b/tests/controller/controller_world.py
@@ -26,9 +26,14 @@
     """Controllers core-0, core-1, ... in the zones given; the first three are the seeds."""
 
     def __init__(
-        self, zones: Iterable[int] = (0, 1, 2, 0, 1), seed: int = 1, survive: dict[str, int] | None = None
+        self,
+        zones: Iterable[int] = (0, 1, 2, 0, 1),
+        seed: int = 1,
+        survive: dict[str, int] | None = None,
+        slas: dict[str, Any] | None = None,
     ) -> None:
-        self.world = World(seed, slas=SLAS)
+        """:param slas: bounds in place of those of the simulation"""
+        self.world = World(seed, slas=SLAS | (slas or {}))
         self.survive = {f"survive_{kind}": count for kind, count in (survive or {}).items()}
         for number, zone in enumerate(zones):
             self.world.add(f"core-{number}", "core", zone, self._controller)
--- a/tests/controller/coordination_support.py
+++ b/tests/controller/coordination_support.py
@@ -62,8 +62,10 @@
     async def number(self, box: Box, name: str) -> Answer:
         return await self.send(box, "POST", f"/numbers/{name}", {})
 
-    async def put(self, box: Box, key: str, value: str, expect: int) -> Answer:
-        return await self.send(box, "PUT", f"/cells/{key}", {"value": value, "expect": expect})
+    async def put(self, box: Box, key: str, value: str, expect: int | None) -> Answer:
+        """`expect` None: whatever revision the key has."""
+        condition = {} if expect is None else {"expect": expect}
+        return await self.send(box, "PUT", f"/cells/{key}", {"value": value} | condition)
 
     async def read(self, box: Box, key: str) -> Answer:
         return await self.send(box, "GET", f"/cells/{key}")
--- /dev/null
+++ b/tests/controller/test_coordination_locks.py
@@ -0,0 +1,144 @@
+"""Locks in calm times: who gets them, which calls a fencing token stands for, and when they are free again."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from tests.controller.controller_world import Cluster
+from tests.controller.coordination_support import Coordination
+
+FREE_S = 1.5  # `freeMs` of the deployments: a lock is free again so long after the end of its hold at the latest
+MARGIN_S = 0.1
+
+
+class LocksTest(unittest.TestCase):
+    # Guards against ONE: two owners hold one lock at the same moment.
+    def test_another_owner_gets_409_while_the_lock_is_held_and_a_higher_token_soon_after(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            sent_at = cluster.world.now
+            first = await calls.acquire(cluster.boxes[0], "l1", "a1", 2000)
+            turn = 0
+            while (other := await calls.acquire(cluster.boxes[turn % 5], "l1", "a2", 2000)).status == 409:
+                self.assertEqual(82, other.body["code"])
+                turn += 1
+                await asyncio.sleep(0.05)
+            self.assertEqual(200, other.status)
+            self.assertGreater(other.body["fence"], first.body["fence"])
+            self.assertGreater(cluster.world.now - other.took_s, sent_at + 2.0)
+            self.assertLess(cluster.world.now, sent_at + 2.0 + FREE_S)
+
+        Cluster().play(scene)
+
+    # Guards against ONE: the hold counts from an earlier call than the last renewal.
+    def test_a_renewed_lock_is_held_from_its_last_renewal(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            fence = (await calls.acquire(cluster.boxes[0], "l1", "a1", 1000)).body["fence"]
+            for turn in range(5):
+                await asyncio.sleep(0.6)
+                renewed_at = cluster.world.now
+                renewed = await calls.renew(cluster.boxes[turn], "l1", "a1", fence, 1000)
+                self.assertEqual(200, renewed.status)
+            while cluster.world.now < renewed_at + 1.0:
+                self.assertEqual(409, (await calls.acquire(cluster.boxes[1], "l1", "a2")).status)
+                await asyncio.sleep(0.02)
+
+        Cluster().play(scene)
+
+    # Guards against ONE: the holder that asks again gets a lower token, or its lock goes to another owner meanwhile.
+    def test_the_holder_that_asks_again_gets_a_token_that_is_not_lower_and_more_time(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            first = await calls.acquire(cluster.boxes[0], "l1", "a1", 1000)
+            await asyncio.sleep(0.8)
+            again = await calls.acquire(cluster.boxes[1], "l1", "a1", 1000)
+            self.assertEqual(200, again.status)
+            self.assertGreaterEqual(again.body["fence"], first.body["fence"])
+            await asyncio.sleep(0.8)
+            self.assertEqual(409, (await calls.acquire(cluster.boxes[2], "l1", "a2")).status)
+
+        Cluster().play(scene)
+
+    # Guards against SHORT: the call that was answered with the older token can't be renewed, and its time is lost.
+    def test_each_token_of_one_hold_renews_it(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            first = (await calls.acquire(cluster.boxes[0], "l1", "a1")).body["fence"]
+            second = (await calls.acquire(cluster.boxes[0], "l1", "a1")).body["fence"]
+            for fence in (first, second):
+                self.assertEqual(200, (await calls.renew(cluster.boxes[1], "l1", "a1", fence)).status)
+
+        Cluster().play(scene)
+
+    # Guards against ONE: a renewal of a hold that has ended extends, or takes, another one.
+    def test_a_renewal_with_a_token_of_an_earlier_hold_gets_409(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            box = cluster.boxes[0]
+            earlier = (await calls.acquire(box, "l1", "a1")).body["fence"]
+            await calls.release(box, "l1", "a1", earlier)
+            self.assertEqual(409, (await calls.renew(box, "l1", "a1", earlier)).status, "released")
+            later = (await calls.acquire(box, "l1", "a1", 500)).body["fence"]
+            self.assertEqual(409, (await calls.renew(box, "l1", "a1", earlier)).status, "the next hold is another one")
+            self.assertEqual(409, (await calls.renew(box, "l1", "a2", later)).status, "another owner")
+            await asyncio.sleep(0.5 + MARGIN_S)
+            self.assertEqual(409, (await calls.renew(box, "l1", "a1", later)).status, "expired")
+            self.assertEqual(200, (await calls.acquire(box, "l1", "a2")).status)
+            self.assertEqual(409, (await calls.renew(box, "l1", "a1", later)).status, "another holds it")
+
+        Cluster().play(scene)
+
+    # Guards against ONE: a release that arrives late frees a later hold of the same owner, or of another one.
+    def test_a_late_release_of_an_earlier_hold_frees_nothing(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            box = cluster.boxes[0]
+            earlier = (await calls.acquire(box, "l1", "a1")).body["fence"]
+            await calls.release(box, "l1", "a1", earlier)
+            later = (await calls.acquire(box, "l1", "a1")).body["fence"]
+            for owner, fence in (("a1", earlier), ("a2", later), ("a1", later + 1)):
+                self.assertEqual(200, (await calls.release(box, "l1", owner, fence)).status)
+                self.assertEqual(409, (await calls.acquire(box, "l1", "a3")).status)
+
+        Cluster().play(scene)
+
+    # Guards against ONE: a release sent before its owner asked again ends the lock that the owner has got since.
+    def test_a_late_release_with_a_token_before_the_holder_asked_again_frees_nothing(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            box = cluster.boxes[0]
+            first = (await calls.acquire(box, "l1", "a1")).body["fence"]
+            again = (await calls.acquire(box, "l1", "a1")).body["fence"]
+            self.assertGreater(again, first)
+            self.assertEqual(200, (await calls.release(box, "l1", "a1", first)).status)
+            self.assertEqual(409, (await calls.acquire(box, "l1", "a2")).status)
+
+        Cluster().play(scene)
+
+    def test_a_release_is_answered_200_whether_or_not_the_lock_is_held(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            for turn, box in enumerate(cluster.boxes):
+                self.assertEqual(200, (await calls.release(box, f"unknown{turn}", "a1", 7)).status)
+                fence = (await calls.acquire(box, "l1", "a1")).body["fence"]
+                self.assertEqual(200, (await calls.release(box, "l1", "a1", fence)).status)
+                self.assertEqual(200, (await calls.release(box, "l1", "a1", fence)).status)
+
+        Cluster().play(scene)
+
+    def test_a_released_lock_is_free_at_once(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            fence = (await calls.acquire(cluster.boxes[0], "l1", "a1", 60_000)).body["fence"]
+            await calls.release(cluster.boxes[1], "l1", "a1", fence)
+            other = await calls.acquire(cluster.boxes[2], "l1", "a2")
+            self.assertEqual(200, other.status)
+            self.assertGreater(other.body["fence"], fence)
+
+        Cluster().play(scene)
+
+
+if __name__ == "__main__":
+    unittest.main()
