coordination: a short renewal does not make a long hold last longer

Callers saw: after a renewal with a short holdMs, others got 409 for the whole of an earlier, longer one. Cause: a hold kept the longest holdMs that any of its calls had asked for, counted from the newest call. Change: it lasts for what is left of it, or for what the call asks for, whichever is longer.

--- a/otterreach/coordination/locks.py
+++ b/otterreach/coordination/locks.py
@@ -17,6 +17,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from math import ceil
 
 EXPIRY_MARGIN_S = 0.05  # beyond `hold_ms`: steady clocks of two machines don't run at exactly the same rate
 
@@ -28,7 +29,7 @@
     owner: str
     fence: int  # of its last acquisition
     first_fence: int  # of its first acquisition: renewals of any of them are for this hold
-    hold_ms: int  # the longest that one of its calls asked for: the answers to later ones may have been lost
+    hold_ms: int  # so long it lasts from the receipt of its last accepted call
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +81,15 @@
     return elapsed_s >= hold.hold_ms / 1000 + EXPIRY_MARGIN_S
 
 
+def _extended_ms(hold: Hold, elapsed_s: float, hold_ms: int) -> int:
+    """How long from now a hold lasts that is asked to last for `hold_ms`: no call makes it end sooner.
+
+    The answer to a call that asks for less than is left may be lost, and then its holder goes on for what is left.
+    """
+    left_ms = ceil(hold.hold_ms - elapsed_s * 1000)
+    return max(left_ms, hold_ms)
+
+
 def acquire(hold: Hold | None, elapsed_s: float, call: Acquire, fence: int) -> Granted | HeldByOther:
     """Decide an acquisition.
 
@@ -90,7 +100,7 @@
         return Granted(Hold(call.owner, fence, fence, call.hold_ms))
     if hold.owner != call.owner:
         return HeldByOther(hold.owner)
-    return Granted(replace(hold, fence=fence, hold_ms=max(hold.hold_ms, call.hold_ms)))
+    return Granted(replace(hold, fence=fence, hold_ms=_extended_ms(hold, elapsed_s, call.hold_ms)))
 
 
 def renew(hold: Hold | None, elapsed_s: float, call: Renew) -> Granted | Lost:
@@ -99,7 +109,7 @@
         return Lost()
     if not hold.first_fence <= call.fence <= hold.fence:
         return Lost()
-    return Granted(replace(hold, hold_ms=max(hold.hold_ms, call.hold_ms)))
+    return Granted(replace(hold, hold_ms=_extended_ms(hold, elapsed_s, call.hold_ms)))
 
 
 def ends(hold: Hold | None, call: Release) -> bool:
--- a/tests/controller/test_coordination_locks.py
+++ b/tests/controller/test_coordination_locks.py
@@ -139,6 +139,23 @@
 
         Cluster().play(scene)
 
+    # Guards against SHORT: a caller with a short hold, who had a long one before, is taken to hold the lock for long.
+    def test_a_short_renewal_does_not_make_a_long_hold_longer_than_it_was(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            box = cluster.boxes[0]
+            began = cluster.world.now
+            fence = (await calls.acquire(box, "l1", "a1", 4000)).body["fence"]
+            await asyncio.sleep(3.0)
+            self.assertEqual(200, (await calls.renew(box, "l1", "a1", fence, 500)).status)
+            while (other := await calls.acquire(box, "l1", "a2")).status == 409:
+                await asyncio.sleep(0.05)
+            self.assertEqual(200, other.status)
+            self.assertGreater(cluster.world.now, began + 4.0, "the answer to the renewal may have been lost")
+            self.assertLess(cluster.world.now, began + 4.0 + FREE_S)
+
+        Cluster().play(scene)
+
 
 if __name__ == "__main__":
     unittest.main()
