Controllers: a call for a lock or key that names a field twice is refused

Callers saw: of two holdMs, fences or owners in one body the last one counted, without a word. Cause: the JSON reader drops the first of two equal fields; queries with a doubled field were refused already.

--- a/otterreach/controller/api/coordination_calls.py
+++ b/otterreach/controller/api/coordination_calls.py
@@ -51,12 +51,28 @@
     return name
 
 
+class _RepeatedFieldError(ValueError):
+    """A JSON object has a field twice: which of the two is meant can't be known."""
+
+
+def _unique_fields(pairs: list[tuple[str, object]]) -> Fields:
+    """A JSON object from its fields, none of which may stand twice."""
+    fields: Fields = {}
+    for field, value in pairs:
+        if field in fields:
+            raise _RepeatedFieldError(field[:MAX_NAME_CHARS])
+        fields[field] = value
+    return fields
+
+
 def _read_fields(body: bytes, known: Iterable[str]) -> Fields | Failure:
     """The fields of a JSON object that has no others than the known ones."""
     if len(body) > MAX_BODY_BYTES:
         return _unusable("body", f"longer than {MAX_BODY_BYTES} bytes")
     try:
-        raw = json.loads(body)
+        raw = json.loads(body, object_pairs_hook=_unique_fields)
+    except _RepeatedFieldError as error:
+        return _unusable(str(error), "stands twice")
     except (ValueError, RecursionError) as error:
         return _unusable("body", f"no JSON: {type(error).__name__}")
     if not isinstance(raw, dict):
