--- a/tests/controller/coordination_support.py
+++ b/tests/controller/coordination_support.py
@@ -74,6 +74,10 @@
         path = f"/watch/{group}.?past={past}&waitMs={wait_ms}"
         return await self.send(box, "GET", path, timeout_s=wait_ms / 1000 + PATIENCE_S)
 
+    async def repeat(self, call: Callable[..., Awaitable[Answer]], *arguments: Any) -> Answer:
+        """Send one of the calls above to one controller after the other until one gives a clear answer."""
+        return await self.until_clear(lambda box: call(box, *arguments))
+
     async def until_clear(self, call: Call, within_s: float = CLEAR_S) -> Answer:
         """Send a call to one controller after the other until one gives a clear answer."""
         began = self.cluster.world.now
