--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -7,6 +7,7 @@
 
 from otterreach.controller.api.router import ApiRouter, CoordinationParts
 from otterreach.controller.failure_detector import FailureDetector
+from otterreach.controller.hold_checkpoints import HoldCheckpoints
 from otterreach.controller.lock_collection import LockCollection
 from otterreach.controller.member_registry import MemberRegistry
 from otterreach.controller.order_leases import OrderLeases
@@ -59,6 +60,7 @@
         self.watches = WatchHub()
         self.control.on_items(self.receipts.observe)
         self.control.on_committed(self.watches.items_committed)
+        self.hold_checkpoints = HoldCheckpoints(self.control, self.receipts)
         self.lock_collection = LockCollection(self.control, self.receipts, clock)
         coordination = CoordinationParts(self.receipts, self.watches, self._has_just_stalled)
         self.api = ApiRouter(
@@ -106,6 +108,7 @@
             self._planned_at = now
             if self.control.is_primary:
                 self._publish_controllers()
+                self.hold_checkpoints.write_when_due()
                 if self._is_stable():
                     self.placement.plan()
                     self.servers.mark_unresponsive_servers()
--- a/otterreach/coordination/locks.py
+++ b/otterreach/coordination/locks.py
@@ -1,9 +1,10 @@
 """Locks with an owner, a fencing token and a time after which they are free again.
 
 Each function decides one call on the present hold and returns what the hold is to become; the caller stores it. Times
-are durations in seconds on a steady clock: `elapsed_s` is how long ago the last accepted call of the hold was received.
-A holder counts itself as such until `hold_ms` after it sent its last accepted call. A call is received after it was
-sent, so a hold that lasts `hold_ms` from the receipt ends after its holder has stopped.
+are durations in seconds on a steady clock: `elapsed_s` is how long ago the hold was stored, which it is when a call is
+accepted. An embedder may store a running hold anew at any time, with what `left_ms` says as its `hold_ms`. A holder
+counts itself as such until `hold_ms` after it sent its last accepted call. A call is received after it was sent, so a
+hold that lasts `hold_ms` from the receipt ends after its holder has stopped.
 
     >>> granted = acquire(None, 0.0, Acquire("worker-1", hold_ms=3000), fence=41)
     >>> granted
@@ -29,7 +30,7 @@
     owner: str
     fence: int  # of its last acquisition
     first_fence: int  # of its first acquisition: renewals of any of them are for this hold
-    hold_ms: int  # so long it lasts from the receipt of its last accepted call
+    hold_ms: int  # so long it lasts from when it was stored for its last accepted call, or stored anew since
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,13 +82,17 @@
     return elapsed_s >= hold.hold_ms / 1000 + EXPIRY_MARGIN_S
 
 
+def left_ms(hold: Hold, elapsed_s: float) -> int:
+    """How long the hold lasts from now on, without the margin; 0 or less if its holder has stopped."""
+    return ceil(hold.hold_ms - elapsed_s * 1000)
+
+
 def _extended_ms(hold: Hold, elapsed_s: float, hold_ms: int) -> int:
     """How long from now a hold lasts that is asked to last for `hold_ms`: no call makes it end sooner.
 
     The answer to a call that asks for less than is left may be lost, and then its holder goes on for what is left.
     """
-    left_ms = ceil(hold.hold_ms - elapsed_s * 1000)
-    return max(left_ms, hold_ms)
+    return max(left_ms(hold, elapsed_s), hold_ms)
 
 
 def acquire(hold: Hold | None, elapsed_s: float, call: Acquire, fence: int) -> Granted | HeldByOther:
--- a/tests/controller/test_coordination_power.py
+++ b/tests/controller/test_coordination_power.py
@@ -10,6 +10,7 @@
 from tests.controller.coordination_support import Coordination
 
 START_S = 3.0
+FREE_S = 1.5  # `freeMs` of the deployments
 SYNC_S = 4.5  # after a loss the full strength is there again
 
 
@@ -42,6 +43,22 @@
 
                 Cluster().play(scene)
 
+    # Guards against SHORT: a journal that is replayed begins each hold anew, and 409 goes on for long.
+    def test_a_hold_ends_in_time_also_after_a_loss_of_all_power(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            sent_at = cluster.world.now
+            await calls.acquire(cluster.boxes[0], "l1", "a1", 10_000)
+            await asyncio.sleep(8.0)
+            await lose_all_power(cluster, down_s=0.3)
+            stable_at = cluster.world.now
+            while (await calls.acquire(cluster.boxes[1], "l1", "a2")).status != 200:
+                await asyncio.sleep(0.05)
+            self.assertGreater(cluster.world.now, sent_at + 10.0)
+            self.assertLess(cluster.world.now, max(sent_at + 10.0, stable_at) + FREE_S)
+
+        Cluster().play(scene)
+
     # Guards against ORDER and ONE: counts begin again, though their holders are gone and their records deleted.
     def test_counts_go_on_after_a_loss_of_all_power(self) -> None:
         async def scene(cluster: Cluster) -> None:
