--- a/tests/controller/controller_world.py
+++ b/tests/controller/controller_world.py
@@ -31,10 +31,15 @@
         seed: int = 1,
         survive: dict[str, int] | None = None,
         start_after_s: dict[str, float] | None = None,
+        slas: dict[str, Any] | None = None,
     ) -> None:
-        """:param start_after_s: by name, for those that don't start at once"""
+        """A core that isn't started yet.
+
+        :param start_after_s: by name, for those that don't start at once
+        :param slas: bounds in place of those of the simulation
+        """
         self.start_after_s = start_after_s or {}
-        self.world = World(seed, slas=SLAS)
+        self.world = World(seed, slas=SLAS | (slas or {}))
         self.survive = {f"survive_{kind}": count for kind, count in (survive or {}).items()}
         for number, zone in enumerate(zones):
             self.world.add(f"core-{number}", "core", zone, self._controller)
--- a/tests/controller/coordination_support.py
+++ b/tests/controller/coordination_support.py
@@ -62,8 +62,10 @@
     async def number(self, box: Box, name: str) -> Answer:
         return await self.send(box, "POST", f"/numbers/{name}", {})
 
-    async def put(self, box: Box, key: str, value: str, expect: int) -> Answer:
-        return await self.send(box, "PUT", f"/cells/{key}", {"value": value, "expect": expect})
+    async def put(self, box: Box, key: str, value: str, expect: int | None) -> Answer:
+        """`expect` None: whatever revision the key has."""
+        condition = {} if expect is None else {"expect": expect}
+        return await self.send(box, "PUT", f"/cells/{key}", {"value": value} | condition)
 
     async def read(self, box: Box, key: str) -> Answer:
         return await self.send(box, "GET", f"/cells/{key}")
@@ -72,6 +74,10 @@
         path = f"/watch/{group}.?past={past}&waitMs={wait_ms}"
         return await self.send(box, "GET", path, timeout_s=wait_ms / 1000 + PATIENCE_S)
 
+    async def repeat(self, call: Callable[..., Awaitable[Answer]], *arguments: Any) -> Answer:
+        """Send one of the calls above to one controller after the other until one gives a clear answer."""
+        return await self.until_clear(lambda box: call(box, *arguments))
+
     async def until_clear(self, call: Call, within_s: float = CLEAR_S) -> Answer:
         """Send a call to one controller after the other until one gives a clear answer."""
         began = self.cluster.world.now
