Simulation: callers, histories and checkers of coordination

Cause: the simulation knew no calls for locks, numbers, keys and watches. Result: not run against real controllers yet.

--- /dev/null
+++ b/otterreach/simulation/coordination.py
@@ -0,0 +1,103 @@
+"""Locks, numbers, keys and watches under faults: applications call the controllers, and checkers judge the answers.
+
+The controllers, their faults and what is checked of them are those of `control`. Some runs end with a final fault: all
+controllers lose power at once, and as many of their disks as the system has to survive are lost.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+from random import Random
+
+from otterreach.simulation import control
+from otterreach.simulation.coordination_check import Bounds, find_violations
+from otterreach.simulation.coordination_liveness import CalmSpan
+from otterreach.simulation.coordination_population import Population, PopulationSetup
+from otterreach.simulation.faults import Fault, Plan
+from otterreach.simulation.loop import Process
+from otterreach.simulation.world import World
+
+HISTORY_S = 20.0
+FREE_S = 1.5
+SLAS = control.SLAS | {"historyS": HISTORY_S, "freeMs": FREE_S * 1000.0}
+BOUNDS = Bounds(HISTORY_S, FREE_S)
+CHECK_S = 4.0  # between looks at the whole history
+CALM_LOOK_S = 0.1  # between looks whether anything is wrong
+FINAL_FAULT_SHARE = 0.3
+FINAL_FAULT_S = 1.0
+RECOVER_S = 10.0
+
+
+class CoordinationScenario(control.Scenario):
+    """One run."""
+
+    def __init__(self, world: World, setup: control.Setup, population: PopulationSetup) -> None:
+        super().__init__(world, setup)
+        self.population_setup = population
+        self.population: Population
+        self.calm: list[CalmSpan] = []
+        if self.random.random() < FINAL_FAULT_SHARE:
+            self.plan = self._with_final_fault(self.plan)
+
+    def _with_final_fault(self, plan: Plan) -> Plan:
+        names = [box.name for box in self.world.of_role("core")]
+        lost = tuple(self.random.sample(names, self.world.survive))
+        rest = tuple(name for name in names if name not in lost)
+        at = plan.end
+        final = (Fault(at, "wipe", lost, FINAL_FAULT_S), Fault(at, "power", rest, FINAL_FAULT_S))
+        return replace(plan, faults=plan.faults + final, end=at + FINAL_FAULT_S + RECOVER_S)
+
+    def _start_callers(self) -> list[asyncio.Task[None]]:
+        tasks = super()._start_callers()
+        self.population = Population(
+            self.population_setup, Random(self.world.seed ^ 0xC00), self._addresses, HISTORY_S, self._over
+        )
+        works = [*self.population.works(), self._note_calm(), self._check_coordination()]
+        people = [Process(f"application-{n}", f"10.7.0.{n + 1}") for n in range(len(works))]
+        return tasks + [person.start(self.world.loop, work) for person, work in zip(people, works, strict=True)]
+
+    async def _note_calm(self) -> None:
+        while not self.stopping:
+            await asyncio.sleep(CALM_LOOK_S)
+            self._note_calm_now()
+
+    def _note_calm_now(self) -> None:
+        """Extend the present span without faults, or begin one."""
+        if self.injector is None or self.injector.active:
+            return
+        begin = max(self.injector.last_change, self.injector.start)
+        span = CalmSpan(begin, begin + control.CONTACT_S, self.world.now)
+        if self.calm and self.calm[-1].begin == begin:
+            self.calm[-1] = span
+        else:
+            self.calm.append(span)
+
+    async def _check_coordination(self) -> None:
+        while not self.stopping:
+            await asyncio.sleep(CHECK_S)
+            self._judge()
+
+    def _judge(self) -> None:
+        """The first violation ends the run."""
+        for violation in find_violations(self.population.history, self.calm, BOUNDS):
+            self.world.expect(False, violation.rule.value, violation.what)
+            return
+
+    async def _final(self) -> None:
+        await self.population.audit()
+        self._note_calm_now()
+        self._judge()
+        await super()._final()
+
+
+def run(seed: int, plan: Plan | None = None, setup: control.Setup | None = None) -> tuple[World, Plan]:
+    """Play one seed, with its own plan of faults and setup or others."""
+    random = Random(seed ^ 0xC0DE)
+    drawn = setup or replace(control.Setup.draw(random), operators=1, proxies=0, servers=0)
+    world = World(seed, drawn.survive_nodes, SLAS, drawn.survive_zones)
+    scenario = CoordinationScenario(world, drawn, PopulationSetup.draw(random))
+    if plan is not None:
+        scenario.plan = plan
+    world.run(scenario.play)
+    return world, scenario.plan
