--- a/otterreach/simulation/coordination_history.py
+++ b/otterreach/simulation/coordination_history.py
@@ -12,6 +12,7 @@
 from math import inf
 
 SILENCE = 0  # the status of a copy that was not answered, or whose answer was lost
+ARRIVES_WITHIN_S = 20.0  # longer than any machine stands still: so late a copy without an answer may still be taken
 NEVER_TAKEN = (HTTPStatus.PRECONDITION_FAILED, HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 
 
@@ -58,6 +59,11 @@
         """Whether its answer promises that it was not taken and never will be."""
         return self.status in NEVER_TAKEN
 
+    @property
+    def is_unclear(self) -> bool:
+        """Whether it may have been taken, or not: silence, or a failure that promises nothing."""
+        return self.status == SILENCE or (self.status >= HTTPStatus.INTERNAL_SERVER_ERROR and not self.is_refused)
+
     @property
     def span(self) -> str:
         """When it was sent and answered, for messages."""
