Soak: two soaks on one machine never share addresses

Cause: the addresses came from the process id.

Change: a network is reserved by a listener for as long as a soak runs; the next free one is taken.

--- a/otterreach/soak/__main__.py
+++ b/otterreach/soak/__main__.py
@@ -15,7 +15,7 @@
 from cyclopts import App, Parameter
 
 from otterreach.soak.result import SoakResult
-from otterreach.soak.run import Soak
+from otterreach.soak.run import soak
 from otterreach.soak.setup import SoakSetup
 
 BROKEN_OFF = 130
@@ -46,7 +46,7 @@
     assert task is not None
     # Danger: ended at once, it would leave the system's processes behind.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await Soak(setup, folder, quiet).run()
+    return await soak(setup, folder, quiet)
 
 
 @Parameter(name="*")
--- a/otterreach/soak/run.py
+++ b/otterreach/soak/run.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from collections.abc import Coroutine
 from pathlib import Path
 from random import Random
@@ -14,6 +13,7 @@
 from otterreach.soak.disruptions import Disruptor, lose_power
 from otterreach.soak.fleet import Fleet
 from otterreach.soak.host import HostMonitor
+from otterreach.soak.network import reserved_network
 from otterreach.soak.operator import ConfigurationOperator
 from otterreach.soak.result import SoakResult
 from otterreach.soak.setup import FREE_S, HISTORY_S, SOAK_BOUNDS, SoakSetup
@@ -23,24 +23,18 @@
 CALM_LOOK_S = 0.1
 FORMATION_S = 8.0  # before the first disruption all controllers have to be members
 LAST_CALLS_S = 15.0  # a caller ends its last call within this time
-FIRST_NET = 16
-NETS = 200
-
-
-def draw_net(seed: int) -> str:
-    """The first two parts of the addresses: several soaks on one machine rarely meet."""
-    return f"127.{FIRST_NET + (os.getpid() * 7 + seed) % NETS}"
 
 
 class Soak:
     """Puts the parts together."""
 
-    def __init__(self, setup: SoakSetup, folder: Path, quiet: bool = False) -> None:
+    def __init__(self, setup: SoakSetup, folder: Path, net: str, quiet: bool = False) -> None:
+        """:param net: the first two parts of the addresses"""
         self.setup = setup
         self.quiet = quiet
         self.loop = asyncio.get_running_loop()
         self.began = self.loop.time()
-        self.fleet = Fleet(setup, folder, draw_net(setup.seed))
+        self.fleet = Fleet(setup, folder, net)
         random = Random(setup.seed)
         self.random = Random(random.getrandbits(64))
         self.operator = ConfigurationOperator(self.fleet.plan, self.fleet.addresses, Random(random.getrandbits(64)))
@@ -150,3 +144,9 @@
         result.host_stalls = self.host.stalls
         result.count(self.population.history)
         result.peak_mb = round(sum(machine.used.peak_mb for machine in self.fleet.system.machines), 1)
+
+
+async def soak(setup: SoakSetup, folder: Path, quiet: bool = False) -> SoakResult:
+    """One soak, at addresses of its own."""
+    with reserved_network(setup.seed) as net:
+        return await Soak(setup, folder, net, quiet).run()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,7 +9,7 @@
 from otterreach.simulation.coordination_history import Rule, Violation
 from otterreach.soak.__main__ import Options, fits, read_seeds
 from otterreach.soak.result import SoakResult
-from otterreach.soak.run import Soak
+from otterreach.soak.run import soak
 from otterreach.soak.setup import SMALL_CORE, SoakSetup
 
 SEED = 7
@@ -25,7 +25,7 @@
     )
 
     async def main() -> SoakResult:
-        return await Soak(setup, tmp_path, quiet=True).run()
+        return await soak(setup, tmp_path, quiet=True)
 
     result = asyncio.run(main())
     assert result.violations == [], result.details()
