Soak: nobody ends a process while it is started again

Cause: the restart of a process that had ended by itself was not reserved; a disruption in that moment could have started a second one, out of reach.

Change: the restart is reserved as those of disruptions are, and a start asserts that none runs.

--- a/otterreach/soak/disruptions.py
+++ b/otterreach/soak/disruptions.py
@@ -184,11 +184,16 @@
             return None
         self._note(Kind.POWER_LOSS, "all controllers")
         fleet.in_use.update(machine.name for machine in fleet.controllers)
-        return lose_power(fleet, self.random, lose_disks=0)
+        return lose_power(fleet, self.random, lose_disks=0, reserved=True)
 
 
-async def lose_power(fleet: Fleet, random: Random, lose_disks: int) -> None:
-    """Kill all controllers at once; some of their disks are lost; all start again, in any order."""
+async def lose_power(fleet: Fleet, random: Random, lose_disks: int, reserved: bool = False) -> None:
+    """Kill all controllers at once; some of their disks are lost; all start again, in any order.
+
+    :param reserved: the caller has seen to it that nobody else ends or starts them
+    """
+    while fleet.in_use & {machine.name for machine in fleet.controllers} and not reserved:
+        await asyncio.sleep(POLL_S)
     controllers = list(fleet.controllers)
     random.shuffle(controllers)
     fleet.in_use.update(machine.name for machine in controllers)
--- a/otterreach/soak/fleet.py
+++ b/otterreach/soak/fleet.py
@@ -77,7 +77,11 @@
         await asyncio.gather(*(self.start(machine) for machine in self.system.machines))
 
     async def start(self, machine: Machine) -> None:
-        """Start a process."""
+        """Start a process.
+
+        Danger: a second one for the same machine would be out of reach, and would outlive the soak.
+        """
+        assert not machine.running
         await machine.start(self.plan, self.system.seeds, SOAK_BOUNDS)
         self._started_at[machine.name] = asyncio.get_running_loop().time()
         self.down.discard(machine.name)
@@ -148,7 +152,9 @@
             for machine in list(self.system.machines):
                 if machine.wanted and not machine.running and machine.name not in self.in_use:
                     self._note_end(machine)
+                    self.in_use.add(machine.name)
                     await self.start(machine)
+                    self.in_use.discard(machine.name)
             await asyncio.sleep(SUPERVISE_S)
 
     def _note_end(self, machine: Machine) -> None:
