--- a/otterreach/soak/__main__.py
+++ b/otterreach/soak/__main__.py
@@ -85,7 +85,8 @@
 
 
 def soak_seed(setup: SoakSetup, folder: Path, quiet: bool) -> bool:
-    """Soak one seed and tell of it; whether no rule was broken."""
+    """Soak one seed and tell of it; whether no rule was broken. What an earlier soak left in the folder is removed."""
+    shutil.rmtree(folder, ignore_errors=True)  # its disks know other addresses
     result = asyncio.run(play(setup, folder, quiet))
     result.write(folder)
     print(result.line(), flush=True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,8 +5,10 @@
 import asyncio
 from dataclasses import replace
 from pathlib import Path
+from unittest import mock
 
 from otterreach.simulation.coordination_history import Rule, Violation
+from otterreach.soak import __main__ as main_module
 from otterreach.soak.__main__ import Options, fits, read_seeds
 from otterreach.soak.result import SoakResult
 from otterreach.soak.run import soak
@@ -34,6 +36,21 @@
     assert len(result.disruptions) >= LEAST_DISRUPTIONS
 
 
+def test_a_soak_begins_on_empty_disks(tmp_path: Path) -> None:
+    """It once began on those of an earlier soak, which know other addresses."""
+    old = tmp_path / "disk" / "core-0" / "control.journal"
+    old.parent.mkdir(parents=True)
+    old.touch()
+    setup = SoakSetup.draw(SEED, SECONDS)
+
+    async def play(*_: object) -> SoakResult:
+        assert not old.exists()
+        return SoakResult(setup)
+
+    with mock.patch.object(main_module, "play", play):
+        assert main_module.soak_seed(setup, tmp_path, quiet=True)
+
+
 def test_the_same_seed_gives_the_same_setup() -> None:
     setups = [SoakSetup.draw(seed, SECONDS) for seed in range(50)]
     assert setups == [SoakSetup.draw(seed, SECONDS) for seed in range(50)]
