--- a/otterreach/simulation/__main__.py
+++ b/otterreach/simulation/__main__.py
@@ -11,14 +11,19 @@
 
 from cyclopts import App
 
-from otterreach.simulation import control, explore, jobs, planted, planted_table
+from otterreach.simulation import control, coordination, explore, jobs, planted, planted_table
 from otterreach.simulation.explore import Found
 from otterreach.simulation.faults import Plan
 from otterreach.simulation.world import World
 
 app = App(name="simulation", help=__doc__)
 Run = Callable[..., tuple[World, Plan]]
-SCENARIOS: dict[str, Run] = {"control": control.run, "jobs": jobs.run, "brief": control.run_brief}
+SCENARIOS: dict[str, Run] = {
+    "control": control.run,
+    "jobs": jobs.run,
+    "brief": control.run_brief,
+    "coordination": coordination.run,
+}
 SEEDS_AT_ONCE = 5  # handed to a process together
 
 
@@ -72,7 +77,7 @@
     seeds: how many
     first: the lowest
     jobs_at_once: processes
-    scenario: control, jobs or brief (the controllers, short runs); all if none is named
+    scenario: control, jobs, brief (the controllers, short runs) or coordination; all if none is named
     lines: of the log of a failing run, after it was made smaller
     """
     names = [scenario] if scenario else list(SCENARIOS)
--- a/otterreach/simulation/coordination.py
+++ b/otterreach/simulation/coordination.py
@@ -20,7 +20,8 @@
 
 HISTORY_S = 20.0
 FREE_S = 1.5
-SLAS = control.SLAS | {"historyS": HISTORY_S, "freeMs": FREE_S * 1000.0}
+CONTACT_S = 4.0  # without any fault, until the core is stable
+SLAS = control.SLAS | {"contactMs": CONTACT_S * 1000.0, "historyS": HISTORY_S, "freeMs": FREE_S * 1000.0}
 BOUNDS = Bounds(HISTORY_S, FREE_S)
 CHECK_S = 4.0  # between looks at the whole history
 CALM_LOOK_S = 0.1  # between looks whether anything is wrong
@@ -67,7 +68,7 @@
         if self.injector is None or self.injector.active:
             return
         begin = max(self.injector.last_change, self.injector.start)
-        span = CalmSpan(begin, begin + control.CONTACT_S, self.world.now)
+        span = CalmSpan(begin, begin + CONTACT_S, self.world.now)
         if self.calm and self.calm[-1].begin == begin:
             self.calm[-1] = span
         else:
--- a/otterreach/simulation/planted.py
+++ b/otterreach/simulation/planted.py
@@ -17,12 +17,16 @@
 from typing import Any
 from unittest import mock
 
-from otterreach.simulation import control, jobs
+from otterreach.simulation import control, coordination, jobs
 from otterreach.simulation.explore import SCENARIOS, explore
 from otterreach.simulation.faults import Fault, Plan
 from otterreach.simulation.world import World
 
-RUNS: dict[str, Callable[..., tuple[World, Any]]] = {"control": control.run, "jobs": jobs.run}
+RUNS: dict[str, Callable[..., tuple[World, Any]]] = {
+    "control": control.run,
+    "jobs": jobs.run,
+    "coordination": coordination.run,
+}
 AFTER_S = 2.0  # a plan's run goes on behind its last fault
 EXPLORE_STATES = 12000  # a search without a find ends, and another order is tried
 
@@ -43,7 +47,7 @@
     name: str
     what: str
     changes: tuple[Change, ...]
-    found_by: str  # a scenario of the small model, "control" or "jobs"
+    found_by: str  # a scenario of the small model, or one of RUNS
     plan: tuple[Fault, ...] = ()  # what goes wrong meanwhile, instead of what the seed draws
     rule: str = ""  # that it breaks
     seed: int = 0  # known to find it
--- a/tests/simulation/test_planted.py
+++ b/tests/simulation/test_planted.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from otterreach.simulation.planted import Change, Planted, find, passes, planted
+from otterreach.simulation.planted import RUNS, Change, Planted, find, passes, planted
 from otterreach.simulation.planted_table import TABLE, UNNOTICED
 
 LEAST = 24
@@ -31,7 +31,7 @@
     """With the known seed first: other code may shift a run's timing, then one of the next few finds it."""
 
     def found(self, kind: str) -> None:
-        for fault in [f for f in TABLE if (f.found_by if f.found_by in ("control", "jobs") else "search") == kind]:
+        for fault in [f for f in TABLE if (f.found_by if f.found_by in RUNS else "search") == kind]:
             with self.subTest(fault.name):
                 found = find(fault, fault.seed, SEEDS)
                 self.assertNotEqual("", found.rule)
@@ -46,3 +46,6 @@
 
     def test_by_the_simulation_of_batch_jobs(self) -> None:
         self.found("jobs")
+
+    def test_by_the_simulation_of_coordination(self) -> None:
+        self.found("coordination")
