Controllers: locks and numbers count against the size of the control state

Callers saw: nothing yet. 100,000 locks and as many numbers with long names and owners are about 100 MB beside the 24 MB that keys may take, on a disk of 128 MB. Cause: the bound on the bytes of the state held for keys alone. Change: no new lock or number in a state beyond it and a reserve of 4 MiB, so that full keys don't stop locks.

--- a/otterreach/controller/api/coordination_answers.py
+++ b/otterreach/controller/api/coordination_answers.py
@@ -12,13 +12,15 @@
 from otterreach.controller.api.resource import UNAVAILABLE, ControlState, when_committed, write
 from otterreach.controller.messages import ApiResponse
 from otterreach.runtime.codes import Code, Failure
-from otterreach.runtime.records import ItemChange
+from otterreach.runtime.records import ItemChange, Record
+from otterreach.runtime.store import ReplicatedStore
 
 UNCLEAR = ApiResponse(504)  # done or not; sent again, the call is recognised where that matters
 EMPTY_OBJECT = b"{}"
 DONE = ApiResponse(200, EMPTY_OBJECT)
 MAX_NAMES = 100_000  # of one kind
-MAX_STATE_BYTES = 24 * 1024 * 1024  # of the whole control state
+MAX_STATE_BYTES = 24 * 1024 * 1024  # of the whole control state: then no key is added, and none grows
+RESERVED_BYTES = 4 * 1024 * 1024  # so much more for locks and numbers: full keys don't stop them
 
 _STATUSES = {
     Code.COORDINATION_FIELD: 400,
@@ -37,6 +39,11 @@
         """Whether `propose`, called now, changes anything."""
 
 
+def has_room(state: ReplicatedStore, kind: type[Record]) -> bool:
+    """Whether one more lock or number may be added."""
+    return state.count(kind) < MAX_NAMES and state.bytes < MAX_STATE_BYTES + RESERVED_BYTES
+
+
 def refusal(failure: Failure) -> ApiResponse:
     """The status that goes with a failure, with its code and reason as the body."""
     body = json.dumps({"code": int(failure.code), "reason": failure.reason}).encode()
--- a/otterreach/controller/api/locks.py
+++ b/otterreach/controller/api/locks.py
@@ -8,11 +8,11 @@
 
 from otterreach.controller.api.coordination_answers import (
     DONE,
-    MAX_NAMES,
     CoordinationState,
     after_commit,
     after_write,
     answer,
+    has_room,
     refusal,
 )
 from otterreach.controller.api.coordination_calls import read_acquire, read_name, read_release, read_renew
@@ -62,8 +62,8 @@
             return refusal(request)
         state = self.control.state
         hold = self._hold(name)
-        if hold is None and state.count(LockRecord) >= MAX_NAMES:
-            return refusal(Failure(Code.COORDINATION_LIMIT, f"more than {MAX_NAMES} locks"))
+        if hold is None and not has_room(state, LockRecord):
+            return refusal(Failure(Code.COORDINATION_LIMIT, "too many locks, or too much is stored"))
         last_fence = state.record(FenceRecord)
         fence = next_value(last_fence.last if last_fence else None)
         result = locks.acquire(hold, self._elapsed_s(name), request, fence)
--- a/otterreach/controller/api/numbers.py
+++ b/otterreach/controller/api/numbers.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from otterreach.controller.api.coordination_answers import MAX_NAMES, CoordinationState, after_write, answer, refusal
+from otterreach.controller.api.coordination_answers import CoordinationState, after_write, answer, has_room, refusal
 from otterreach.controller.api.coordination_calls import read_name, read_number
 from otterreach.controller.api.resource import METHOD_NOT_ALLOWED
 from otterreach.controller.coordination_records import NumberRecord
@@ -33,7 +33,7 @@
     async def _next(self, name: str) -> ApiResponse:
         state = self.control.state
         record = state.record(NumberRecord, name)
-        if record is None and state.count(NumberRecord) >= MAX_NAMES:
-            return refusal(Failure(Code.COORDINATION_LIMIT, f"more than {MAX_NAMES} numbers"))
+        if record is None and not has_room(state, NumberRecord):
+            return refusal(Failure(Code.COORDINATION_LIMIT, "too many numbers, or too much is stored"))
         value = next_value(record.last if record else None)
         return await after_write(self.control, [put(NumberRecord(value), name)], answer(value=value))
