Controllers: events that nobody can ask for any more leave a state that is full of them

Callers saw: nothing yet. Once the histories of groups had filled the state, each put got 429 for good. Cause: an old event gave its room only to a put of its own group, and a full state takes no put.

--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -64,6 +64,11 @@
     stalled: Callable[[], bool]  # whether this process has just stood still
 
 
+def events_kept_s(settings: Settings) -> float:
+    """So long the event of a put stays in its group's history at least."""
+    return settings.bounds.history_s + HISTORY_MARGIN_S
+
+
 def answer_within_s(call: ApiCall) -> float:
     """How long the primary may take for a call."""
     waiting_s = watches.wait_s(call) if _resource_name(call) == WATCHES else 0.0
@@ -96,7 +101,6 @@
         published = follower.store
         histories = FollowedHistories()
         receipts = coordination.receipts
-        kept_s = settings.bounds.history_s + HISTORY_MARGIN_S
         self.resources: dict[str, Resource] = {
             CONFIGURATION: ConfigurationResource(control, published),
             SERVERS: ServerResource(control, heartbeats, settings.heartbeat_s),
@@ -104,7 +108,7 @@
             RETIREMENTS: RetirementResource(control, published, stores, limits_of(settings)),
             LOCKS: LockResource(control, receipts),
             NUMBERS: NumberResource(control),
-            KEYS: KeyResource(control, histories, receipts, kept_s),
+            KEYS: KeyResource(control, histories, receipts, events_kept_s(settings)),
             WATCHES: WatchResource(control, histories, coordination.hub),
         }
         control.endpoint.on(ApiCall, self.handle_forwarded)
--- a/otterreach/controller/group_histories.py
+++ b/otterreach/controller/group_histories.py
@@ -19,7 +19,10 @@
         state.watch(EventRecord, self._apply)
 
     def _apply(self, item: Item) -> None:
-        if not item.is_tombstone:
+        if item.is_tombstone:
+            group, slot = split_event_name(item.name)
+            self.of(group).remove(slot)
+        else:
             self._store(item.name, EventRecord.decode(item.value))
 
     def _store(self, name: str, record: EventRecord) -> None:
--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -5,7 +5,8 @@
 import asyncio
 from collections.abc import Iterable
 
-from otterreach.controller.api.router import ApiRouter, CoordinationParts
+from otterreach.controller.api.router import ApiRouter, CoordinationParts, events_kept_s
+from otterreach.controller.event_collection import EventCollection
 from otterreach.controller.failure_detector import FailureDetector
 from otterreach.controller.hold_checkpoints import HoldCheckpoints
 from otterreach.controller.lock_collection import LockCollection
@@ -62,6 +63,7 @@
         self.control.on_committed(self.watches.items_committed)
         self.hold_checkpoints = HoldCheckpoints(self.control, self.receipts)
         self.lock_collection = LockCollection(self.control, self.receipts, clock)
+        self.event_collection = EventCollection(self.control, self.receipts, events_kept_s(settings), clock)
         coordination = CoordinationParts(self.receipts, self.watches, self._has_just_stalled)
         self.api = ApiRouter(
             settings, self.control, node.follower, self._stores_once_stable, self.detector, coordination
@@ -115,6 +117,7 @@
                     self.leases.assign_leases()
                     self.members.remove_unresponsive_members()
                     self.lock_collection.collect_when_due()
+                    self.event_collection.collect_when_due()
 
     def _is_stalled_at(self, now: float) -> bool:
         return now - self._planned_at > PLAN_INTERVAL_S + STALL_S
--- a/otterreach/coordination/history.py
+++ b/otterreach/coordination/history.py
@@ -1,7 +1,7 @@
 """The newest puts of a group of keys, by which watches resume and repeated puts are recognised.
 
 Events live in numbered slots. A new event takes the slot of the oldest one, once that has been kept for long enough,
-or a new slot: so nothing has to be deleted, and the newest event, which holds the group's revision, always stays.
+or a new slot. Old events may be removed besides, but for the newest one, which holds the group's revision.
 
     >>> history = GroupHistory()
     >>> history.store(0, Event("g1.a", "v1", revision=1, expected=0))
@@ -42,6 +42,7 @@
         self.revision = 0  # the group's newest
         self.bytes = 0
         self._slots: dict[int, Event] = {}
+        self._next_slot = 0  # above all that were ever in use
         self._slot_of: dict[int, int] = {}  # by revision
         self._by_call: dict[tuple[str, str, int | None], Event] = {}  # by name, value and expected revision
 
@@ -54,6 +55,7 @@
         if former is not None:
             self._remove(former)
         self._slots[slot] = event
+        self._next_slot = max(self._next_slot, slot + 1)
         self._slot_of[event.revision] = slot
         self._by_call[event.name, event.value, event.expected] = event
         self.bytes += event.size
@@ -61,6 +63,12 @@
             self.revision = max(self._slot_of)
         self.revision = max(self.revision, event.revision)
 
+    def remove(self, slot: int) -> None:
+        """Empty a slot, if it is in use. Not that of the newest event."""
+        former = self._slots.pop(slot, None)
+        if former is not None:
+            self._remove(former)
+
     def _remove(self, event: Event) -> None:
         self._slot_of.pop(event.revision, None)
         self.bytes -= event.size
@@ -74,7 +82,7 @@
 
     def new_slot(self) -> int:
         """A slot that is not in use."""
-        return len(self._slots)
+        return self._next_slot
 
     def find(self, name: str, value: str, expected: int | None) -> Event | None:
         """The accepted put of this value, if its event is still kept."""
--- a/tests/controller/test_coordination_bounds.py
+++ b/tests/controller/test_coordination_bounds.py
@@ -6,9 +6,9 @@
 import unittest
 from unittest import mock
 
-from otterreach.controller import lock_collection
+from otterreach.controller import event_collection, lock_collection
 from otterreach.controller.api import coordination_answers, keys
-from otterreach.controller.coordination_records import FenceRecord, LockRecord
+from otterreach.controller.coordination_records import EventRecord, FenceRecord, LockRecord
 from otterreach.controller.watch_hub import WatchHub
 from tests.controller.controller_world import Cluster
 from tests.controller.coordination_support import Answer, Coordination
@@ -76,6 +76,32 @@
         with mock.patch.object(keys, "MAX_GROUP_BYTES", 5000):
             Cluster(slas={"historyS": HISTORY_S}).play(scene)
 
+    # Guards against SHORT: once the state was full of events, every put is refused for good, however old they are.
+    def test_a_state_that_was_full_of_events_takes_puts_again_once_they_are_old(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            rounds = []
+            last = 0
+            for _ in range(3):
+                first = last + 1
+                while (answer := await calls.put(cluster.boxes[0], "g1.a", f"{last:4000}", None)).status == 200:
+                    last += 1
+                    self.assertEqual({"rev": last}, answer.body)
+                self.assert_limit(answer)
+                rounds.append(last + 1 - first)
+                self.assertEqual(200, (await calls.watch(cluster.boxes[1], "g1", first - 1 or 1)).status)
+                await asyncio.sleep(KEPT_S + event_collection.COLLECT_INTERVAL_S + 1)
+            self.assertGreater(min(rounds), 5)
+            self.assertEqual({"events": [], "rev": last}, (await calls.watch(cluster.boxes[1], "g1", last)).body)
+            for box in [cluster.primary, *cluster.backups]:
+                self.assertEqual(1, len(cluster.control(box).state.records(EventRecord)))
+
+        with (
+            mock.patch.object(keys, "MAX_STATE_BYTES", 50_000),
+            mock.patch.object(event_collection, "ROOMY_BYTES", 0),
+        ):
+            Cluster(slas={"historyS": HISTORY_S}).play(scene)
+
     # Guards against a state that outgrows the disk: locks and numbers count as well as keys.
     def test_a_full_state_takes_no_new_locks_and_numbers(self) -> None:
         async def scene(cluster: Cluster) -> None:
