--- /dev/null
+++ b/tests/coordination/test_locks.py
@@ -0,0 +1,249 @@
+"""Locks against callers that take themselves for holders as the pages say: never two of them at one moment.
+
+The machine has what a service has: a primary and a backup that store each hold when it reaches them, and know only how
+long ago that was; calls that come late, answers that get lost, changes of primary, restarts, checkpoints.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from otterreach.coordination.locks import (
+    EXPIRY_MARGIN_S,
+    Acquire,
+    Granted,
+    HeldByOther,
+    Hold,
+    Lost,
+    Release,
+    Renew,
+    acquire,
+    ends,
+    is_over,
+    left_ms,
+    renew,
+)
+
+Step = tuple[float, float]
+ROUNDING_S = 1e-9
+OWNERS = ("a", "b")
+owners = st.sampled_from(OWNERS)
+kinds = st.sampled_from(["acquire", "renew", "release"])
+holds_ms = st.sampled_from([40, 200, 1000])
+delays_ms = st.sampled_from([0, 1, 100])
+
+
+@dataclass
+class Replica:
+    """A machine that stores the hold."""
+
+    hold: Hold | None = None
+    stored_at: int = 0
+
+    def store(self, hold: Hold | None, now: int) -> None:
+        self.hold = hold
+        self.stored_at = now
+
+
+@dataclass
+class Caller:
+    """What an owner believes, and the tokens that it ever got."""
+
+    fence: int = 0
+    until: int = 0  # it is holder before this
+    hold_ms: int = 0  # that it believes in
+    calls_sent: int = 0
+    fences: list[int] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class Sent:
+    """A call on its way."""
+
+    call: Acquire | Renew | Release
+    sent_at: int
+    number: int  # among the calls of its owner
+    others_had: int  # the highest token that another owner had got before
+
+
+class LocksMachine(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0  # ms
+        self.primary = Replica()
+        self.backup = Replica()
+        self.last_fence = 0
+        self.callers = {owner: Caller() for owner in OWNERS}
+        self.sent: list[Sent] = []
+
+    # Callers -------------------------------------------------------------------------------------
+
+    def _send(self, call: Acquire | Renew | Release) -> None:
+        caller = self.callers[call.owner]
+        caller.calls_sent += 1
+        others = [fence for owner in OWNERS if owner != call.owner for fence in self.callers[owner].fences]
+        self.sent.append(Sent(call, self.now, caller.calls_sent, max(others, default=0)))
+
+    def _make(self, owner: str, kind: str, hold_ms: int) -> Acquire | Renew | Release:
+        fence = self.callers[owner].fence
+        if kind == "acquire" or not fence:
+            return Acquire(owner, hold_ms)
+        if kind == "renew":
+            return Renew(owner, fence, hold_ms)
+        self.callers[owner].until = 0  # it is no holder from when it sends this
+        return Release(owner, fence)
+
+    @rule(owner=owners, kind=kinds, hold_ms=holds_ms, is_lost=st.booleans(), delay_ms=delays_ms)
+    def call(self, owner: str, kind: str, hold_ms: int, is_lost: bool, delay_ms: int) -> None:
+        self._send(self._make(owner, kind, hold_ms))
+        self._receive(self.sent.pop(), delay_ms, is_lost)
+
+    @rule(owner=owners, kind=kinds, hold_ms=holds_ms)
+    def send_a_call_that_comes_late(self, owner: str, kind: str, hold_ms: int) -> None:
+        self._send(self._make(owner, kind, hold_ms))
+
+    # The service ---------------------------------------------------------------------------------
+
+    @precondition(lambda self: self.sent)
+    @rule(data=st.data(), delay_ms=delays_ms, is_repeated=st.booleans())
+    def receive_late(self, data: st.DataObject, delay_ms: int, is_repeated: bool) -> None:
+        """In any order, and perhaps more than once."""
+        sent = data.draw(st.sampled_from(self.sent))
+        if not is_repeated:
+            self.sent.remove(sent)
+        self._receive(sent, delay_ms, is_lost=False)
+
+    def _receive(self, sent: Sent, delay_ms: int, is_lost: bool) -> None:
+        """The effect reaches the backup later, and the answer the caller, or not."""
+        granted = self._decide(sent.call)
+        if granted is None:
+            return
+        self.primary.store(granted, self.now)
+        self.now += delay_ms
+        self.backup.store(granted, self.now)
+        if not is_lost:
+            self._answer(sent, granted)
+
+    def _decide(self, call: Acquire | Renew | Release) -> Hold | None:
+        """The hold that is granted; a release and a refusal have none."""
+        elapsed_s = (self.now - self.primary.stored_at) / 1000
+        hold = self.primary.hold
+        if isinstance(call, Release):
+            if ends(hold, call):
+                self.primary.store(None, self.now)
+                self.backup.store(None, self.now)
+            return None
+        if isinstance(call, Renew):
+            renewed = renew(hold, elapsed_s, call)
+            return None if isinstance(renewed, Lost) else renewed.hold
+        result = acquire(hold, elapsed_s, call, self.last_fence + 1)
+        if isinstance(result, HeldByOther):
+            assert hold is not None
+            assert not is_over(hold, elapsed_s)
+            return None
+        self.last_fence += 1
+        return result.hold
+
+    def _answer(self, sent: Sent, granted: Hold) -> None:
+        """A caller that has sent another call since doesn't wait for this answer any more."""
+        caller = self.callers[sent.call.owner]
+        if sent.number != caller.calls_sent or isinstance(sent.call, Release):
+            return
+        until = sent.sent_at + sent.call.hold_ms
+        if isinstance(sent.call, Acquire):
+            assert granted.fence > sent.others_had
+            assert granted.fence >= max(caller.fences, default=0)
+            assert granted.fence not in [f for o in OWNERS if o != sent.call.owner for f in self.callers[o].fences]
+            caller.fences.append(granted.fence)
+            caller.fence = granted.fence
+            caller.until = until
+        elif caller.until > self.now and caller.fence == sent.call.fence:
+            caller.until = until  # else the time is over, and the renewal counts for nothing
+
+    # Trouble -------------------------------------------------------------------------------------
+
+    @rule(delay_ms=delays_ms | st.just(1100))
+    def time_passes(self, delay_ms: int) -> None:
+        self.now += delay_ms
+
+    @rule(delay_ms=delays_ms)
+    def the_backup_takes_over(self, delay_ms: int) -> None:
+        """Its own backup gets the hold later."""
+        self.now += delay_ms
+        self.primary = self.backup
+        self.backup = Replica(self.primary.hold, self.now + delay_ms)
+
+    @rule(delay_ms=delays_ms)
+    def all_start_again(self, delay_ms: int) -> None:
+        """Nobody knows any more when anything was stored."""
+        self.now += delay_ms
+        self.primary.stored_at = self.backup.stored_at = self.now
+
+    @rule(delay_ms=delays_ms)
+    def what_is_left_is_stored(self, delay_ms: int) -> None:
+        hold = self.primary.hold
+        if hold is None:
+            return
+        left = left_ms(hold, (self.now - self.primary.stored_at) / 1000)
+        if left > 0:
+            self.primary.store(replace(hold, hold_ms=left), self.now)
+            self.backup.store(self.primary.hold, self.now + delay_ms)
+
+    # What has to hold ----------------------------------------------------------------------------
+
+    @invariant()
+    def one_holder(self) -> None:
+        holders = [owner for owner, caller in self.callers.items() if caller.until > self.now]
+        assert len(holders) <= 1, holders
+
+    @invariant()
+    def its_hold_is_stored(self) -> None:
+        for owner, caller in self.callers.items():
+            if caller.until > self.now:
+                assert self.primary.hold is not None
+                assert self.primary.hold.owner == owner
+                assert self.primary.hold.first_fence <= caller.fence <= self.primary.hold.fence
+                assert not is_over(self.primary.hold, (self.now - self.primary.stored_at) / 1000)
+
+
+TestLocks = LocksMachine.TestCase
+TestLocks.settings = settings(max_examples=1000, stateful_step_count=25)
+
+
+steps = st.lists(st.tuples(st.floats(0, 2), st.floats(0, 0.5)), max_size=10)
+
+
+@given(st.integers(1, 10_000), steps)
+def test_what_is_left_never_ends_sooner_than_the_hold_and_hardly_later(hold_ms: int, steps_s: list[Step]) -> None:
+    """Each step: how long after it was stored what is left is computed, and how long after that it is stored."""
+    hold = Hold("a", 1, 1, hold_ms)
+    now = 0.0
+    late_s = 0.0
+    for wait_s, delay_s in steps_s:
+        left = left_ms(hold, wait_s)
+        if left <= 0:
+            assert now + wait_s >= hold_ms / 1000 - ROUNDING_S
+            return
+        hold = replace(hold, hold_ms=left)
+        now += wait_s + delay_s
+        late_s += delay_s + 0.001
+        assert now + left / 1000 >= hold_ms / 1000 - ROUNDING_S
+        assert now + left / 1000 <= hold_ms / 1000 + late_s + ROUNDING_S
+
+
+def test_a_hold_is_over_right_after_its_time_and_the_margin() -> None:
+    granted = acquire(None, 0.0, Acquire("a", 1000), 1)
+    assert isinstance(granted, Granted)
+    assert not is_over(granted.hold, 1.0 + EXPIRY_MARGIN_S - 0.001)
+    assert is_over(granted.hold, 1.0 + EXPIRY_MARGIN_S)
+
+
+def test_a_call_for_less_time_than_is_left_shortens_nothing_and_lengthens_nothing() -> None:
+    hold = Hold("a", 1, 1, 4000)
+    for result in (acquire(hold, 3.0, Acquire("a", 500), 2), renew(hold, 3.0, Renew("a", 1, 500))):
+        assert isinstance(result, Granted)
+        assert result.hold.hold_ms == 1000
