Controllers: the records of running holds are replaced each second, not twice

Cause: each hold that is not renewed cost a write every 0.5 to 0.7 s, at all members. A new primary may answer 409 for freeMs, 1.5 s, after a hold's end. Change: a record is replaced once it is older than 1 s.

--- a/otterreach/controller/hold_checkpoints.py
+++ b/otterreach/controller/hold_checkpoints.py
@@ -17,7 +17,7 @@
 from otterreach.coordination.locks import left_ms
 from otterreach.runtime.records import ItemChange, key_of, put
 
-MAX_AGE_S = 0.5  # the record of a running hold is replaced once it is older
+MAX_AGE_S = 1.0  # the record of a running hold is replaced once it is older
 MIN_LEFT_MS = 500  # a hold that ends so soon needs no newer record
 MAX_CHECKPOINTS = 256  # at a time
 
