Controllers: fields of coordination calls are read by one class, counters stored by one

Cause: each reader of a call repeated the same steps for owner, token and time, and two records were alike. Change: FieldError ends the reading of a call, and the base class of the four resources answers it; FenceRecord and NumberRecord share their stored form, which is as it was. Result: the tests of bad input, bounds, keys, locks, watches and stored forms pass.

--- a/otterreach/controller/api/keys.py
+++ b/otterreach/controller/api/keys.py
@@ -15,6 +15,7 @@
     refusal,
 )
 from otterreach.controller.api.coordination_calls import read_name, read_put
+from otterreach.controller.api.coordination_resource import CoordinationResource
 from otterreach.controller.api.resource import METHOD_NOT_ALLOWED, NOT_FOUND
 from otterreach.controller.coordination_records import EventRecord, KeyRecord, event_name
 from otterreach.controller.group_histories import FollowedHistories
@@ -30,7 +31,7 @@
 MAX_GROUP_BYTES = 4 * 1024 * 1024  # of those events
 
 
-class KeyResource:
+class KeyResource(CoordinationResource):
     """Keys, and the histories of their groups."""
 
     def __init__(
@@ -42,17 +43,14 @@
         self.receipts = receipts
         self.kept_s = kept_s
 
-    async def handle(self, call: ApiCall) -> ApiResponse:
+    async def decide(self, call: ApiCall) -> ApiResponse:
         """Answer a call, at the primary."""
         name = read_name(call)
-        if isinstance(name, Failure):
-            return refusal(name)
         if call.method == "GET":
             return await self._read(name)
         if call.method != "PUT":
             return METHOD_NOT_ALLOWED
-        request = read_put(name, call.body)
-        return refusal(request) if isinstance(request, Failure) else await self._put(request)
+        return await self._put(read_put(name, call.body))
 
     def _entry(self, name: str) -> Entry | None:
         record = self.control.state.record(KeyRecord, name)
--- a/otterreach/controller/api/locks.py
+++ b/otterreach/controller/api/locks.py
@@ -16,6 +16,7 @@
     refusal,
 )
 from otterreach.controller.api.coordination_calls import read_acquire, read_name, read_release, read_renew
+from otterreach.controller.api.coordination_resource import CoordinationResource
 from otterreach.controller.api.resource import METHOD_NOT_ALLOWED, UNAVAILABLE
 from otterreach.controller.coordination_records import FenceRecord, LockRecord
 from otterreach.controller.messages import ApiCall, ApiResponse
@@ -28,18 +29,16 @@
 from otterreach.runtime.records import delete, key_of, put
 
 
-class LockResource:
+class LockResource(CoordinationResource):
     """Locks. Elections are locks that are held for long."""
 
     def __init__(self, control: CoordinationState, receipts: ReceiptTimes) -> None:
         self.control = control
         self.receipts = receipts
 
-    async def handle(self, call: ApiCall) -> ApiResponse:
+    async def decide(self, call: ApiCall) -> ApiResponse:
         """Answer a call, at the primary."""
         name = read_name(call)
-        if isinstance(name, Failure):
-            return refusal(name)
         if call.method == "POST":
             return await self._acquire(name, call.body)
         if call.method == "PUT":
@@ -58,8 +57,6 @@
 
     async def _acquire(self, name: str, body: bytes) -> ApiResponse:
         request = read_acquire(body)
-        if isinstance(request, Failure):
-            return refusal(request)
         state = self.control.state
         hold = self._hold(name)
         if hold is None and not has_room(state, LockRecord):
@@ -85,8 +82,6 @@
 
     async def _renew(self, name: str, body: bytes) -> ApiResponse:
         request = read_renew(body)
-        if isinstance(request, Failure):
-            return refusal(request)
         result = locks.renew(self._hold(name), self._elapsed_s(name), request)
         if isinstance(result, locks.Lost):
             log("lock_lost", lock=name, owner=request.owner, fence=request.fence)
@@ -95,8 +90,6 @@
 
     async def _release(self, name: str, body: bytes) -> ApiResponse:
         request = read_release(body)
-        if isinstance(request, Failure):
-            return refusal(request)
         if not locks.ends(self._hold(name), request):
             return await after_commit(self.control, DONE)
         response = await after_write(self.control, [delete(LockRecord, name)], DONE)
--- a/otterreach/controller/api/numbers.py
+++ b/otterreach/controller/api/numbers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from otterreach.controller.api.coordination_answers import CoordinationState, after_write, answer, has_room, refusal
-from otterreach.controller.api.coordination_calls import read_name, read_number
+from otterreach.controller.api.coordination_calls import check_number, read_name
+from otterreach.controller.api.coordination_resource import CoordinationResource
 from otterreach.controller.api.resource import METHOD_NOT_ALLOWED
 from otterreach.controller.coordination_records import NumberRecord
 from otterreach.controller.messages import ApiCall, ApiResponse
@@ -12,22 +13,18 @@
 from otterreach.runtime.records import put
 
 
-class NumberResource:
+class NumberResource(CoordinationResource):
     """Counters. Each number is written before it is given."""
 
     def __init__(self, control: CoordinationState) -> None:
         self.control = control
 
-    async def handle(self, call: ApiCall) -> ApiResponse:
+    async def decide(self, call: ApiCall) -> ApiResponse:
         """Answer a call, at the primary."""
         if call.method != "POST":
             return METHOD_NOT_ALLOWED
         name = read_name(call)
-        if isinstance(name, Failure):
-            return refusal(name)
-        failure = read_number(call.body)
-        if failure is not None:
-            return refusal(failure)
+        check_number(call.body)
         return await self._next(name)
 
     async def _next(self, name: str) -> ApiResponse:
--- a/otterreach/controller/api/watches.py
+++ b/otterreach/controller/api/watches.py
@@ -4,6 +4,8 @@
 
 from otterreach.controller.api.coordination_answers import answer, refusal
 from otterreach.controller.api.coordination_calls import Watch, read_name, read_watch
+from otterreach.controller.api.coordination_fields import FieldError
+from otterreach.controller.api.coordination_resource import CoordinationResource
 from otterreach.controller.api.resource import METHOD_NOT_ALLOWED, UNAVAILABLE, ControlState
 from otterreach.controller.group_histories import FollowedHistories
 from otterreach.controller.messages import ApiCall, ApiResponse
@@ -13,11 +15,13 @@
 
 def wait_s(call: ApiCall) -> float:
     """How long a watch may wait for an event; 0 for one that can't be read."""
-    watch = read_watch("", call.query)
-    return 0.0 if isinstance(watch, Failure) else watch.wait_ms / 1000
+    try:
+        return read_watch("", call.query).wait_ms / 1000
+    except FieldError:
+        return 0.0
 
 
-class WatchResource:
+class WatchResource(CoordinationResource):
     """Watches. An answer names committed events only, and is given while this surely is the primary.
 
     A watch from revision 0 learns the present revision at once, or waits for the first put into an empty group.
@@ -28,15 +32,12 @@
         self.histories = histories
         self.hub = hub
 
-    async def handle(self, call: ApiCall) -> ApiResponse:
+    async def decide(self, call: ApiCall) -> ApiResponse:
         """Answer a call, at the primary."""
         if call.method != "GET":
             return METHOD_NOT_ALLOWED
         group = read_name(call)
-        if isinstance(group, Failure):
-            return refusal(group)
-        watch = read_watch(group, call.query)
-        return refusal(watch) if isinstance(watch, Failure) else await self._watch(watch)
+        return await self._watch(read_watch(group, call.query))
 
     async def _watch(self, watch: Watch) -> ApiResponse:
         if not await self.control.confirm():
--- a/otterreach/controller/coordination_records.py
+++ b/otterreach/controller/coordination_records.py
@@ -38,10 +38,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FenceRecord:
-    """The last fencing token that was given to any holder of any lock. There is one, and it is never deleted."""
-
-    KIND: ClassVar[str] = "fence"
+class _CounterRecord:
+    """The last value that a counter gave."""
 
     last: int
 
@@ -56,21 +54,17 @@
 
 
 @dataclass(frozen=True, slots=True)
-class NumberRecord:
-    """The last value that a counter gave, by the counter's name. It is never deleted."""
+class FenceRecord(_CounterRecord):
+    """The last fencing token that was given to any holder of any lock. There is one, and it is never deleted."""
 
-    KIND: ClassVar[str] = "number"
+    KIND: ClassVar[str] = "fence"
 
-    last: int
 
-    @classmethod
-    def decode(cls, value: bytes) -> Self:
-        """The record from its stored form."""
-        return cls(json.loads(value)["last"])
+@dataclass(frozen=True, slots=True)
+class NumberRecord(_CounterRecord):
+    """The last value that a counter gave, by the counter's name. It is never deleted."""
 
-    def encode(self) -> bytes:
-        """The stored form."""
-        return json.dumps({"last": self.last}, separators=_SEPARATORS).encode()
+    KIND: ClassVar[str] = "number"
 
 
 @dataclass(frozen=True, slots=True)
