--- a/tests/controller/test_coordination_power.py
+++ b/tests/controller/test_coordination_power.py
@@ -170,6 +170,41 @@
 
                 Cluster().play(scene)
 
+    # Guards against LOST: at the end of a day as many disks as may be lost are, with all power, and answers come late.
+    def test_acknowledged_state_is_answered_in_time_after_two_disks_and_all_power(self) -> None:
+        for empty_again in (False, True):
+            with self.subTest(empty_again=empty_again):
+
+                async def scene(cluster: Cluster, empty_again: bool = empty_again) -> None:
+                    calls = Coordination(cluster)
+                    fence = (await calls.acquire(cluster.boxes[0], "l1", "a1", 20_000)).body["fence"]
+                    value = (await calls.number(cluster.boxes[0], "n1")).body["value"]
+                    await calls.put(cluster.boxes[0], "g1.a", "v1", 0)
+                    await calls.put(cluster.boxes[0], "g1.b", "v2", 0)
+                    wiped = (cluster.primary, cluster.backups[0])
+                    began = cluster.world.now + 0.5
+                    await lose_all_power(cluster, wiped)
+                    if empty_again:
+                        for box in wiped:
+                            box.power_on()
+                    renewed, other, number, read, watch, put = await asyncio.gather(
+                        calls.repeat(calls.renew, "l1", "a1", fence),
+                        calls.repeat(calls.acquire, "l2", "a2"),
+                        calls.repeat(calls.number, "n1"),
+                        calls.repeat(calls.read, "g1.a"),
+                        calls.repeat(calls.watch, "g1", 1),
+                        calls.repeat(calls.put, "g1.c", "v3", 0),
+                    )
+                    self.assertEqual(200, renewed.status)
+                    self.assertGreater(other.body["fence"], fence)
+                    self.assertGreater(number.body["value"], value)
+                    self.assertEqual({"value": "v1", "rev": 1}, read.body)
+                    self.assertEqual({"name": "g1.b", "value": "v2", "rev": 2}, watch.body["events"][0])
+                    self.assertEqual({"rev": 3}, put.body)
+                    self.assertLess(cluster.world.now - began, START_S)
+
+                Cluster(survive={"nodes": 2}).play(scene)
+
     # Guards against LOST: a new machine that joined serves nothing, or something older.
     def test_a_new_machine_answers_as_the_others_do(self) -> None:
         async def scene(cluster: Cluster) -> None:
