--- a/otterreach/coordination/locks.py
+++ b/otterreach/coordination/locks.py
@@ -1,9 +1,10 @@
 """Locks with an owner, a fencing token and a time after which they are free again.
 
 Each function decides one call on the present hold and returns what the hold is to become; the caller stores it. Times
-are durations in seconds on a steady clock: `elapsed_s` is how long ago the last accepted call of the hold was received.
-A holder counts itself as such until `hold_ms` after it sent its last accepted call. A call is received after it was
-sent, so a hold that lasts `hold_ms` from the receipt ends after its holder has stopped.
+are durations in seconds on a steady clock: `elapsed_s` is how long ago the hold was stored, which it is when a call is
+accepted. An embedder may store a running hold anew at any time, with what `left_ms` says as its `hold_ms`. A holder
+counts itself as such until `hold_ms` after it sent its last accepted call. A call is received after it was sent, so a
+hold that lasts `hold_ms` from the receipt ends after its holder has stopped.
 
     >>> granted = acquire(None, 0.0, Acquire("worker-1", hold_ms=3000), fence=41)
     >>> granted
@@ -17,6 +18,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, replace
+from math import ceil
 
 EXPIRY_MARGIN_S = 0.05  # beyond `hold_ms`: steady clocks of two machines don't run at exactly the same rate
 
@@ -28,7 +30,7 @@
     owner: str
     fence: int  # of its last acquisition
     first_fence: int  # of its first acquisition: renewals of any of them are for this hold
-    hold_ms: int  # the longest that one of its calls asked for: the answers to later ones may have been lost
+    hold_ms: int  # so long it lasts from when it was stored for its last accepted call, or stored anew since
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,6 +82,19 @@
     return elapsed_s >= hold.hold_ms / 1000 + EXPIRY_MARGIN_S
 
 
+def left_ms(hold: Hold, elapsed_s: float) -> int:
+    """How long the hold lasts from now on, without the margin; 0 or less if its holder has stopped."""
+    return ceil(hold.hold_ms - elapsed_s * 1000)
+
+
+def _extended_ms(hold: Hold, elapsed_s: float, hold_ms: int) -> int:
+    """How long from now a hold lasts that is asked to last for `hold_ms`: no call makes it end sooner.
+
+    The answer to a call that asks for less than is left may be lost, and then its holder goes on for what is left.
+    """
+    return max(left_ms(hold, elapsed_s), hold_ms)
+
+
 def acquire(hold: Hold | None, elapsed_s: float, call: Acquire, fence: int) -> Granted | HeldByOther:
     """Decide an acquisition.
 
@@ -90,7 +105,7 @@
         return Granted(Hold(call.owner, fence, fence, call.hold_ms))
     if hold.owner != call.owner:
         return HeldByOther(hold.owner)
-    return Granted(replace(hold, fence=fence, hold_ms=max(hold.hold_ms, call.hold_ms)))
+    return Granted(replace(hold, fence=fence, hold_ms=_extended_ms(hold, elapsed_s, call.hold_ms)))
 
 
 def renew(hold: Hold | None, elapsed_s: float, call: Renew) -> Granted | Lost:
@@ -99,7 +114,7 @@
         return Lost()
     if not hold.first_fence <= call.fence <= hold.fence:
         return Lost()
-    return Granted(replace(hold, hold_ms=max(hold.hold_ms, call.hold_ms)))
+    return Granted(replace(hold, hold_ms=_extended_ms(hold, elapsed_s, call.hold_ms)))
 
 
 def ends(hold: Hold | None, call: Release) -> bool:
