--- a/tests/controller/test_coordination_frozen.py
+++ b/tests/controller/test_coordination_frozen.py
@@ -15,6 +15,7 @@
     ("POST", "/numbers/n1", {}),
     ("PUT", "/cells/g1.late", {"value": "late", "expect": 0}),
 )
+COPIES = 5  # of each late call: on connections of their own
 
 
 class FrozenPrimaryTest(unittest.TestCase):
@@ -111,30 +112,31 @@
 class LateCallsTest(unittest.TestCase):
     # Guards against calls that their callers have given up, and that take effect seconds later: a hold nobody wants.
     def test_calls_that_came_while_a_controller_stood_still_are_refused_and_change_nothing(self) -> None:
-        for of_primary in (False, True):
-            with self.subTest(of_primary=of_primary):
-
-                async def scene(cluster: Cluster, of_primary: bool = of_primary) -> None:
-                    calls = Coordination(cluster)
-                    first = (await calls.number(cluster.boxes[0], "n1")).body["value"]
-                    box = cluster.primary if of_primary else cluster.others(cluster.primary)[0]
-                    box.freeze()
-                    await asyncio.sleep(0.1)
-                    late = [
-                        asyncio.ensure_future(calls.send(box, method, path, body, timeout_s=5.0))
-                        for method, path, body in LATE_CALLS
-                    ]
-                    await asyncio.sleep(2.0)
-                    box.thaw()
-                    for answer in await asyncio.gather(*late):
-                        self.assertEqual(503, answer.status)
-                    await asyncio.sleep(1.0)
-                    self.assertEqual(200, (await calls.repeat(calls.acquire, "l1", "a2")).status)
-                    self.assertEqual(404, (await calls.repeat(calls.read, "g1.late")).status)
-                    second = (await calls.repeat(calls.number, "n1")).body["value"]
-                    self.assertEqual(first + 1, second)
-
-                Cluster().play(scene)
+        for seed in range(1, 5):  # each with another order of what comes first after the thaw
+            for of_primary in (False, True):
+                with self.subTest(of_primary=of_primary, seed=seed):
+
+                    async def scene(cluster: Cluster, of_primary: bool = of_primary) -> None:
+                        calls = Coordination(cluster)
+                        first = (await calls.number(cluster.boxes[0], "n1")).body["value"]
+                        box = cluster.primary if of_primary else cluster.others(cluster.primary)[0]
+                        box.freeze()
+                        await asyncio.sleep(0.1)
+                        late = [
+                            asyncio.ensure_future(calls.send(box, method, path, body, timeout_s=5.0))
+                            for method, path, body in LATE_CALLS * COPIES
+                        ]
+                        await asyncio.sleep(2.0)
+                        box.thaw()
+                        for answer in await asyncio.gather(*late):
+                            self.assertEqual(503, answer.status)
+                        await asyncio.sleep(1.0)
+                        self.assertEqual(200, (await calls.repeat(calls.acquire, "l1", "a2")).status)
+                        self.assertEqual(404, (await calls.repeat(calls.read, "g1.late")).status)
+                        second = (await calls.repeat(calls.number, "n1")).body["value"]
+                        self.assertEqual(first + 1, second)
+
+                    Cluster(seed=seed).play(scene)
 
     # Guards against the same where the controller had passed the call on, and its primary stood still.
     def test_calls_forwarded_to_a_primary_that_stands_still_end_without_a_clear_answer(self) -> None:
