--- a/otterreach/simulation/coordination_callers.py
+++ b/otterreach/simulation/coordination_callers.py
@@ -34,6 +34,7 @@
     MOMENT = "holds it for a moment and releases it"
     RENEW = "renews it several times and releases it"
     REACQUIRE = "acquires it again while it holds it, and releases it"
+    RETURN = "releases it once, and acquires it again at once for a longer hold"
     DIE = "dies while holding it, and comes back under the same name"
     OVERSLEEP = "sleeps beyond its time, then renews and releases what it has lost"
     RENEW_RELEASED = "releases it, then asks for a renewal all the same"
@@ -84,6 +85,12 @@
         elif habit is Habit.RENEW:
             await self._keep(held)
             await self._release(held)
+        elif habit is Habit.RETURN:
+            await self._release(held, 1)
+            anew = await self._acquire(held.lock, max(HOLD_S))
+            if anew is not None:
+                await asyncio.sleep(self.random.uniform(0.5, 0.9) * anew.hold_s)
+                await self._release(anew)
         elif habit is Habit.REACQUIRE:
             await asyncio.sleep(self.random.uniform(0.0, 0.5) * held.hold_s)
             anew = await self._acquire(held.lock, held.hold_s)
@@ -128,10 +135,10 @@
         held.until = call.sent + held.hold_s
         return True
 
-    async def _release(self, held: HeldLock) -> None:
+    async def _release(self, held: HeldLock, tries: int = RELEASE_TRIES) -> None:
         """Give it back; without a clear answer a few times."""
         held.until = min(held.until, self.loop.time())
-        for _ in range(self.random.randint(1, RELEASE_TRIES)):
+        for _ in range(self.random.randint(1, tries)):
             call = Release(sent=self.loop.time(), lock=held.lock, owner=self.owner, fence=held.fence)
             self.history.releases.append(call)
             body = {"owner": self.owner, "fence": held.fence}
--- a/otterreach/simulation/coordination_client.py
+++ b/otterreach/simulation/coordination_client.py
@@ -89,6 +89,7 @@
         body = request.encoded_body()
         response = await client.ask(address, request.method, request.target, body, HEADERS, timeout_s)
         call.over = asyncio.get_running_loop().time()
+        call.was_decided = response is not None
         return response
 
     def _pick(self) -> str:
--- a/otterreach/simulation/coordination_history.py
+++ b/otterreach/simulation/coordination_history.py
@@ -46,6 +46,7 @@
     answered: float = inf
     status: int = SILENCE
     over: float = inf  # when the caller's connection was closed: the copy can't leave the caller any more
+    was_decided: bool = False  # an answer came until then, though it may have been lost, or too late for the caller
     faulty: bool = False  # the simulation lost its answer, or sent it late: it says nothing of the service's speed
     final: bool = False
 
@@ -64,6 +65,11 @@
         """Whether it may have been taken, or not: silence, or a failure that promises nothing."""
         return self.status == SILENCE or (self.status >= HTTPStatus.INTERNAL_SERVER_ERROR and not self.is_refused)
 
+    @property
+    def taken_by(self) -> float:
+        """Until when it may be taken."""
+        return self.over if self.was_decided else self.sent + ARRIVES_WITHIN_S
+
     @property
     def span(self) -> str:
         """When it was sent and answered, for messages."""
@@ -189,6 +195,11 @@
     revision: int = 0  # as answered
     events: tuple[WatchEvent, ...] = ()
 
+    @property
+    def decided_after(self) -> float:
+        """The earliest moment at which its answer can have been decided: without events, that its time was over."""
+        return self.sent + self.wait_s if self.past and not self.events else self.sent
+
     def __str__(self) -> str:
         told = [event.revision for event in self.events]
         return f"watch of {self.group} past {self.past}: {told} up to {self.revision} ({self.span})"
--- a/otterreach/simulation/coordination_key_callers.py
+++ b/otterreach/simulation/coordination_key_callers.py
@@ -23,6 +23,7 @@
 RESEND_S = (1.0, 6.0)  # for so long a put without a clear answer is sent again
 AGAIN_S = (0.03, 0.4)
 THINK_S = (0.0, 0.1, 0.5)
+GIVE_UP_SHARE = 0.3  # of the puts whose copy was refused with a promise are not sent again
 REPEAT_SHARE = 0.15  # of the acknowledged puts arrive once more, as if the answer had been lost
 REPEAT_AFTER_S = (0.0, 4.0)
 LOOK_SHARE = 0.3  # of the puts follow a read
@@ -76,7 +77,8 @@
             if copy.is_ok or copy.status == HTTPStatus.PRECONDITION_FAILED:
                 self._know(put.key, copy.revision)
                 break
-            if self.loop.time() > give_up or self.stopping():
+            is_promised = copy.is_refused and self.random.random() < GIVE_UP_SHARE
+            if is_promised or self.loop.time() > give_up or self.stopping():
                 await self._look(put.key)
                 return
             await asyncio.sleep(self.random.uniform(*AGAIN_S))
--- a/otterreach/simulation/coordination_liveness.py
+++ b/otterreach/simulation/coordination_liveness.py
@@ -9,7 +9,6 @@
 from math import inf
 
 from otterreach.simulation.coordination_history import (
-    ARRIVES_WITHIN_S,
     Acquire,
     CoordinationHistory,
     Release,
@@ -83,23 +82,27 @@
 class _Releases:
     """When holds were released, as far as that is sure.
 
-    It is not, where an acquire of the same owner some time before was not answered clearly: that may have replaced the
-    hold, and a release ends only the hold that it names.
+    It is not, where an acquire of the same owner was not answered clearly and may have been taken during the hold: a
+    release ends only the hold that it names.
     """
 
     def __init__(self, history: CoordinationHistory) -> None:
-        self._unclear: defaultdict[tuple[str, str], list[float]] = defaultdict(list)  # by lock and owner
+        self._unclear: defaultdict[tuple[str, str], list[Acquire]] = defaultdict(list)  # by lock and owner
+        self._begins: dict[tuple[str, str, int], float] = {}  # of holds, by lock, owner and fence
         for acquire in history.acquires:
             if acquire.is_unclear:
-                self._unclear[acquire.lock, acquire.owner].append(acquire.sent)
+                self._unclear[acquire.lock, acquire.owner].append(acquire)
+            elif acquire.is_ok:
+                self._begins[acquire.lock, acquire.owner, acquire.fence] = acquire.answered
         self._sure: defaultdict[tuple[str, str], list[Release]] = defaultdict(list)
         for release in history.releases:
             if release.is_ok and not self._may_be_void(release):
                 self._sure[release.lock, release.owner].append(release)
 
     def _may_be_void(self, release: Release) -> bool:
-        earlier = self._unclear[release.lock, release.owner]
-        return any(sent < release.answered < sent + ARRIVES_WITHIN_S for sent in earlier)
+        begin = self._begins.get((release.lock, release.owner, release.fence), -inf)
+        unclear = self._unclear[release.lock, release.owner]
+        return any(call.sent < release.answered and call.taken_by > begin for call in unclear)
 
     def end_of(self, call: Acquire | Renewal) -> float:
         """When the hold of this call was released, at the latest; inf if that is not sure."""
--- a/otterreach/simulation/keyspace_checker.py
+++ b/otterreach/simulation/keyspace_checker.py
@@ -180,7 +180,7 @@
         if answer.revision < floor:
             yield Violation(rule_of(answer.call, Rule.STALE), f"{answer}, acknowledged was {floor}")
     for watch in keyspace.history.watches:
-        floor = group_floors[watch.group].at(watch.sent) if watch.group in group_floors else 0
+        floor = group_floors[watch.group].at(watch.decided_after) if watch.group in group_floors else 0
         if watch.is_ok and watch.revision < floor:
             yield Violation(rule_of(watch, Rule.STALE), f"{watch}, acknowledged was {floor}")
 
--- a/otterreach/simulation/keyspace_linearizability.py
+++ b/otterreach/simulation/keyspace_linearizability.py
@@ -71,13 +71,13 @@
                 self._not_before(places[following], answer.call.sent)
 
     def _place_watches(self) -> None:
-        """All puts up to the answer's revision were taken before the answer, the others after the call was sent."""
+        """All puts up to the answer's revision were taken before it, the others after it can have been decided."""
         for watch in self.keyspace.history.watches:
             if watch.group != self.group or not watch.is_ok:
                 continue
             following = bisect_right(self.revisions, watch.revision)
             if following < len(self.puts):
-                self._not_before(following, watch.sent)
+                self._not_before(following, watch.decided_after)
             if following:
                 self.latest[following - 1] = min(self.latest[following - 1], watch.answered)
 
--- a/otterreach/simulation/lock_checker.py
+++ b/otterreach/simulation/lock_checker.py
@@ -12,7 +12,6 @@
 from http import HTTPStatus
 
 from otterreach.simulation.coordination_history import (
-    ARRIVES_WITHIN_S,
     Acquire,
     CoordinationHistory,
     Release,
@@ -150,9 +149,11 @@
 
 def _may_act_between(call: LockCall, release: Release, renewal: Renewal) -> bool:
     """Whether an acquire of the same owner may have been taken between the two calls, however late it arrived."""
-    if not isinstance(call, Acquire) or call.owner != renewal.owner:
+    if not isinstance(call, Acquire) or call.owner != renewal.owner or call.sent >= renewal.answered:
         return False
-    return call.sent < renewal.answered and call.answered > release.sent
+    if call.is_unclear:
+        return call.taken_by > release.sent
+    return call.is_ok and call.answered > release.sent
 
 
 def _renewals_refused_to_holders(calls: Sequence[LockCall], holds: Sequence[Hold]) -> Iterator[Violation]:
@@ -171,7 +172,7 @@
     for call in calls:
         if not isinstance(call, Acquire) or call.owner != hold.owner or call.sent > renewal.answered:
             continue
-        if call.is_unclear and call.sent + ARRIVES_WITHIN_S > hold.begin:
+        if call.is_unclear and call.taken_by > hold.begin:
             return True
         if call.is_ok and call.fence != hold.fence and call.answered > hold.begin:
             return True
--- /dev/null
+++ b/otterreach/simulation/planted_coordination.py
@@ -0,0 +1,410 @@
+"""Planted faults of locks, numbers, keys and watches, looked for by the simulation of coordination."""
+
+from __future__ import annotations
+
+from otterreach.simulation.coordination_history import Rule
+from otterreach.simulation.planted import Change, Planted
+from otterreach.simulation.planted_plans import (
+    ALL_CORES_LOSE_POWER_OFTEN,
+    CORE_DISKS_STALL,
+    NOTHING_FOR_A_WHILE,
+    PRIMARIES_CUT_OFF,
+    PRIMARIES_FREEZE,
+    PRIMARIES_FREEZE_BRIEFLY,
+    PRIMARIES_FREEZE_IN_A_WRITE,
+    PRIMARIES_KILLED,
+    PRIMARIES_LOSE_POWER_IN_A_WRITE,
+)
+
+LOCKS = "otterreach.coordination.locks"
+LOCK_RESOURCE = "otterreach.controller.api.locks:LockResource"
+NUMBER_RESOURCE = "otterreach.controller.api.numbers:NumberResource"
+KEY_RESOURCE = "otterreach.controller.api.keys:KeyResource"
+WATCH_RESOURCE = "otterreach.controller.api.watches:WatchResource"
+ANSWERS = "otterreach.controller.api.coordination_answers"
+RECEIPTS = "otterreach.controller.receipt_times:ReceiptTimes"
+HISTORIES = "otterreach.controller.group_histories:GroupHistories"
+WATCH_HUB = "otterreach.controller.watch_hub:WatchHub"
+ROUTER = "otterreach.controller.api.router:ApiRouter"
+KEYSPACE = "otterreach.coordination.keyspace"
+HISTORY = "otterreach.coordination.history:GroupHistory"
+COORDINATION = "coordination"
+
+LOCK_FAULTS = (
+    Planted(
+        "hold-ends-before-its-time",
+        "a hold ends when three quarters of its time have passed since the receipt",
+        (Change(f"{LOCKS}:is_over", "hold.hold_ms / 1000", "hold.hold_ms * 0.75 / 1000"),),
+        COORDINATION,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+    Planted(
+        "renewal-does-not-move-the-receipt",
+        "a hold counts from the receipt of its first call, however often it was renewed",
+        (Change(f"{RECEIPTS}._observe", "known is not None and known[0] == item.revision", "known is not None"),),
+        COORDINATION,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+    Planted(
+        "loaded-hold-begins-expired",
+        "what was loaded from the journal counts as received long ago",
+        (
+            Change("otterreach.controller.local_replica:LocalReplica.load", "self._notify_items", "len"),
+            Change(f"{RECEIPTS}.age_s", "self._observe(item)", "self._received.get(item.key, (0, -1e9))[1]"),
+        ),
+        COORDINATION,
+        plan=ALL_CORES_LOSE_POWER_OFTEN,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+    Planted(
+        "fence-of-the-present-hold",
+        "a token is counted from the present hold: once that is released, tokens begin anew",
+        (
+            Change(
+                f"{LOCK_RESOURCE}._acquire",
+                "next_value(last_fence.last if last_fence else None)",
+                "next_value(hold.fence if hold else None)",
+            ),
+        ),
+        COORDINATION,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+    Planted(
+        "fence-not-written",
+        "the last token is not written",
+        (Change(f"{LOCK_RESOURCE}._acquire", ", put(FenceRecord(fence))]", "]"),),
+        COORDINATION,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+    Planted(
+        "fence-reused-for-the-same-owner",
+        "an owner that asks again gets a new token, while the hold keeps the old one",
+        (Change(f"{LOCKS}:acquire", "replace(hold, fence=fence, ", "replace(hold, "),),
+        COORDINATION,
+        rule=Rule.PROTOCOL.value,
+        seed=1,
+    ),
+    Planted(
+        "release-of-any-fence",
+        "a release of an earlier hold ends a later one of the same owner",
+        (
+            Change(
+                f"{LOCKS}:ends",
+                "(hold.owner, hold.fence) == (call.owner, call.fence)",
+                "hold.owner == call.owner",
+            ),
+        ),
+        COORDINATION,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+    Planted(
+        "release-by-anyone",
+        "a release ends whatever hold there is",
+        (Change(f"{LOCKS}:ends", " and (hold.owner, hold.fence) == (call.owner, call.fence)", ""),),
+        COORDINATION,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+    Planted(
+        "release-not-written",
+        "a release is answered, and the hold goes on",
+        (
+            Change(
+                f"{LOCK_RESOURCE}._release",
+                "await after_write(self.control, [delete(LockRecord, name)], DONE)",
+                "DONE",
+            ),
+        ),
+        COORDINATION,
+        plan=NOTHING_FOR_A_WHILE,
+        rule=Rule.PROMPT.value,
+        seed=1,
+    ),
+    Planted(
+        "lost-hold-renewed",
+        "a renewal is accepted though another owner has the lock",
+        (
+            Change(f"{LOCKS}:renew", "hold.owner != call.owner or ", ""),
+            Change(f"{LOCKS}:renew", "not hold.first_fence <= call.fence <= hold.fence", "call.fence > hold.fence"),
+        ),
+        COORDINATION,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+    Planted(
+        "held-lock-given",
+        "a lock goes to whoever asks once it was renewed",
+        (Change(f"{LOCKS}:acquire", "hold.owner != call.owner", "hold.fence == hold.first_fence and False"),),
+        COORDINATION,
+        rule=Rule.ONE.value,
+        seed=1,
+    ),
+)
+
+NUMBER_FAULTS = (
+    Planted(
+        "number-not-awaited",
+        "a number is given before any replica has it",
+        (
+            Change(
+                f"{NUMBER_RESOURCE}._next",
+                "return await after_write(self.control, [put(NumberRecord(value), name)], answer(value=value))",
+                "self.control.propose([put(NumberRecord(value), name)]); return answer(value=value)",
+            ),
+        ),
+        COORDINATION,
+        plan=PRIMARIES_LOSE_POWER_IN_A_WRITE,
+        rule=Rule.ORDER.value,
+        seed=1,
+    ),
+    Planted(
+        "number-from-memory",
+        "a primary gives numbers on from its memory, and writes every hundredth",
+        (
+            Change(
+                f"{NUMBER_RESOURCE}._next",
+                "value = next_value(record.last if record else None)",
+                "known = self.control.__dict__.setdefault('numbers', {}); "
+                "value = known[name] = known.get(name, record.last if record else 0) + 1\n"
+                "    if value % 100 != 1: return answer(value=value)",
+            ),
+        ),
+        COORDINATION,
+        plan=PRIMARIES_KILLED,
+        rule=Rule.ORDER.value,
+        seed=1,
+    ),
+)
+
+KEY_FAULTS = (
+    Planted(
+        "write-not-awaited",
+        "locks, numbers and puts are acknowledged before any replica has them",
+        (
+            Change(
+                f"{ANSWERS}:after_write",
+                "return accepted if await write(control, changes) else UNCLEAR",
+                "control.propose(changes); return accepted",
+            ),
+        ),
+        COORDINATION,
+        plan=PRIMARIES_LOSE_POWER_IN_A_WRITE,
+        rule=Rule.ORDER.value,
+        seed=1,
+    ),
+    Planted(
+        "unavailable-after-accept",
+        "a write without a clear end is answered 503",
+        (Change(f"{ANSWERS}:after_write", "else UNCLEAR", "else UNAVAILABLE"),),
+        COORDINATION,
+        plan=PRIMARIES_FREEZE_IN_A_WRITE,
+        rule=Rule.REFUSED.value,
+        seed=1,
+    ),
+    Planted(
+        "late-answer-is-unavailable",
+        "a call that takes too long is answered 503, though it goes on",
+        (Change(f"{ROUTER}._decide", "UNCLEAR if changes_coordination(call) else UNAVAILABLE", "UNAVAILABLE"),),
+        COORDINATION,
+        plan=CORE_DISKS_STALL,
+        rule=Rule.REFUSED.value,
+        seed=1,
+    ),
+    Planted(
+        "forwarded-call-is-unavailable",
+        "a call that was forwarded to a primary that died is answered 503",
+        (
+            Change(
+                f"{ROUTER}._forward",
+                "UNCLEAR if answer.maybe_done and changes_coordination(call) else UNAVAILABLE",
+                "UNAVAILABLE",
+            ),
+        ),
+        COORDINATION,
+        plan=PRIMARIES_LOSE_POWER_IN_A_WRITE,
+        rule=Rule.REFUSED.value,
+        seed=1,
+    ),
+    Planted(
+        "key-read-without-contact",
+        "a read is answered without asking whether the epoch holds, or whether the value is at all replicas",
+        (
+            Change(
+                f"{KEY_RESOURCE}._read",
+                "await after_commit(self.control, answer(value=entry.value, rev=entry.revision))",
+                "answer(value=entry.value, rev=entry.revision)",
+            ),
+        ),
+        COORDINATION,
+        plan=PRIMARIES_FREEZE,
+        rule=Rule.STALE.value,
+        seed=1,
+    ),
+    Planted(
+        "conflict-on-uncommitted-state",
+        "a 412 names a revision that is not yet at all replicas, and may vanish",
+        (Change(f"{KEY_RESOURCE}._put", "return await after_commit(self.control, conflict)", "return conflict"),),
+        COORDINATION,
+        plan=PRIMARIES_CUT_OFF,
+        rule=Rule.STALE.value,
+        seed=1,
+    ),
+    Planted(
+        "commit-not-awaited",
+        "reads, conflicts and repeats are answered though what they rest on is not yet at all replicas",
+        (
+            Change(
+                "otterreach.controller.writes:WritePipeline.committed",
+                "while self._committed < submitted and",
+                "while False and",
+            ),
+            Change(
+                "otterreach.controller.writes:WritePipeline.committed",
+                "return self._committed >= submitted and self._step_downs == step_downs",
+                "return True",
+            ),
+        ),
+        COORDINATION,
+        plan=PRIMARIES_FREEZE_IN_A_WRITE,
+        rule=Rule.MIXED.value,
+        seed=1,
+    ),
+    Planted(
+        "repeat-forgotten",
+        "a put that arrives again is not recognised once another came",
+        (Change(f"{KEYSPACE}:put", "if earlier is not None:", "if False:"),),
+        COORDINATION,
+        rule=Rule.REFUSED.value,
+        seed=1,
+    ),
+    Planted(
+        "repeat-not-recognised-at-all",
+        "a put that arrives again is a new put",
+        (
+            Change(f"{KEYSPACE}:put", "if earlier is not None:", "if False:"),
+            Change(f"{KEYSPACE}:put", "if entry is not None and", "if False and"),
+        ),
+        COORDINATION,
+        rule=Rule.REFUSED.value,
+        seed=1,
+    ),
+    Planted(
+        "expectation-not-compared",
+        "a put is taken whatever revision it expects",
+        (Change(f"{KEYSPACE}:put", "call.expected is not None and call.expected != current", "False"),),
+        COORDINATION,
+        rule=Rule.ORDER.value,
+        seed=1,
+    ),
+    Planted(
+        "revision-of-the-key",
+        "a put gets the revision after that of its key, not after that of its group",
+        (Change(f"{KEYSPACE}:put", "history.revision + 1", "current + 1"),),
+        COORDINATION,
+        rule=Rule.ORDER.value,
+        seed=2,
+    ),
+    Planted(
+        "history-not-loaded",
+        "a new primary begins with empty histories",
+        (Change(f"{HISTORIES}.__init__", "self._store(name, record)", "pass"),),
+        COORDINATION,
+        plan=PRIMARIES_KILLED,
+        rule=Rule.ORDER.value,
+        seed=1,
+    ),
+)
+
+WATCH_FAULTS = (
+    Planted(
+        "history-cut-by-count",
+        "a group keeps its last ten puts, however young they are",
+        (Change(f"{KEY_RESOURCE}._slot_for", "self.receipts.age_s(oldest) >= self.kept_s", "len(history) >= 10"),),
+        COORDINATION,
+        rule=Rule.LOST.value,
+        seed=1,
+    ),
+    Planted(
+        "gap-in-place-of-410",
+        "a watch from a revision that is not kept any more gets the events that are",
+        (
+            Change(f"{KEY_RESOURCE}._slot_for", "self.receipts.age_s(oldest) >= self.kept_s", "len(history) >= 10"),
+            Change(f"{HISTORY}.between", "return None", "continue"),
+        ),
+        COORDINATION,
+        rule=Rule.ORDER.value,
+        seed=1,
+    ),
+    Planted(
+        "watch-skips-an-event",
+        "a watch that would tell of several puts leaves the last one out",
+        (
+            Change(
+                f"{HISTORY}.between",
+                "range(past + 1, revision + 1)",
+                "range(past + 1, max(revision, past + 2))",
+            ),
+        ),
+        COORDINATION,
+        rule=Rule.ORDER.value,
+        seed=1,
+    ),
+    Planted(
+        "watch-of-uncommitted-puts",
+        "watches are told of a put as soon as the primary has it",
+        (
+            Change(
+                "otterreach.controller.node:ControllerNode.__init__",
+                "self.control.on_committed(self.watches.items_committed)",
+                "self.control.on_items(self.watches.items_committed)",
+            ),
+        ),
+        COORDINATION,
+        plan=PRIMARIES_CUT_OFF,
+        rule=Rule.ORDER.value,
+        seed=1,
+    ),
+    Planted(
+        "present-revision-without-contact",
+        "a watch is let in without asking whether the epoch holds",
+        (Change(f"{WATCH_RESOURCE}._watch", "not await self.control.confirm()", "False"),),
+        COORDINATION,
+        plan=PRIMARIES_FREEZE,
+        rule=Rule.STALE.value,
+        seed=1,
+    ),
+    Planted(
+        "empty-watch-of-an-old-primary",
+        "a watch whose time is over is answered without asking whether the epoch holds",
+        (Change(f"{WATCH_RESOURCE}._after_wait", "not await self.control.confirm()", "False"),),
+        COORDINATION,
+        plan=PRIMARIES_FREEZE_BRIEFLY,
+        rule=Rule.STALE.value,
+        seed=1,
+    ),
+    Planted(
+        "watch-not-woken",
+        "a watch that waits is not woken by a put",
+        (
+            Change(
+                f"{WATCH_HUB}.items_committed",
+                "self._wake(self._waiting.take(group, revision), True)",
+                "pass",
+            ),
+        ),
+        COORDINATION,
+        plan=NOTHING_FOR_A_WHILE,
+        rule=Rule.PROMPT.value,
+        seed=1,
+    ),
+)
+
+FAULTS: tuple[Planted, ...] = (*LOCK_FAULTS, *NUMBER_FAULTS, *KEY_FAULTS, *WATCH_FAULTS)
+
+UNNOTICED: tuple[Planted, ...] = ()
--- a/otterreach/simulation/planted_plans.py
+++ b/otterreach/simulation/planted_plans.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from otterreach.simulation.faults import Fault
+from otterreach.simulation.faults import LEADER, Fault
 
 CORES = tuple(f"core-{n}" for n in range(5))
 FRONTS = ("front-0", "front-1", "front-2")
@@ -39,3 +39,12 @@
 CORES_KILLED: Faults = tuple(Fault(4.0 + 1.5 * n, "kill", (CORES[n % 5],), 0.6) for n in range(14))
 SLOW_LINKS: Faults = tuple(Fault(4.0 + 4 * n, "slow_link", CORES, 2.5) for n in range(6))
 CORES_UNHEARD: Faults = tuple(Fault(4.0 + 3 * n, "one_way", (CORES[n % 5],), 1.2) for n in range(8))
+PRIMARIES_KILLED: Faults = tuple(Fault(3.0 + 3 * n, "kill", (LEADER,), 1.5) for n in range(6))
+PRIMARIES_CUT_OFF: Faults = tuple(Fault(3.0 + 4 * n, "cut", (LEADER,), 2.0) for n in range(5))
+PRIMARIES_FREEZE: Faults = tuple(Fault(3.0 + 4 * n, "freeze", (LEADER,), 2.0) for n in range(5))
+PRIMARIES_LOSE_POWER_IN_A_WRITE: Faults = tuple(Fault(2.0 + 3 * n, "power@AppendItems", (), 2.0) for n in range(6))
+ALL_CORES_LOSE_POWER_OFTEN: Faults = tuple(Fault(3.0 + 4 * n, "power", CORES, 0.2) for n in range(5))
+PRIMARIES_FREEZE_BRIEFLY: Faults = tuple(Fault(2.0 + 2 * n, "freeze", (LEADER,), 0.95) for n in range(12))
+CORE_DISKS_STALL: Faults = tuple(Fault(2.0 + 3 * n, "stall_disk", (CORES[n % 3],), 1.8) for n in range(7))
+PRIMARIES_FREEZE_IN_A_WRITE: Faults = tuple(Fault(2.0 + 2 * n, "freeze@AppendItems", (), 0.8) for n in range(12))
+NOTHING_FOR_A_WHILE: Faults = (Fault(25.0, "reset", CORES, 0.1),)
