--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -8,8 +8,10 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from otterreach.controller.api import watches
 from otterreach.controller.api.configuration import ConfigurationResource
@@ -52,9 +54,17 @@
 NUMBERS = "numbers"
 KEYS = "cells"
 WATCHES = "watch"
+UNKNOWN = "unknown"  # in figures: a path of no resource
 COORDINATION = frozenset({LOCKS, NUMBERS, KEYS, WATCHES})
 
 
+class AnswerKind(NamedTuple):
+    """What the answers to callers are counted by."""
+
+    resource: str
+    status: int
+
+
 @dataclass(frozen=True, slots=True)
 class CoordinationParts:
     """What a controller keeps in memory for locks and watches."""
@@ -64,6 +74,11 @@
     stalled: Callable[[], bool]  # whether this process has just stood still
 
 
+def events_kept_s(settings: Settings) -> float:
+    """So long the event of a put stays in its group's history at least."""
+    return settings.bounds.history_s + HISTORY_MARGIN_S
+
+
 def answer_within_s(call: ApiCall) -> float:
     """How long the primary may take for a call."""
     waiting_s = watches.wait_s(call) if _resource_name(call) == WATCHES else 0.0
@@ -93,10 +108,10 @@
         self.heartbeats = heartbeats
         self.coordination = coordination
         self.forwarder = Forwarder(control)
+        self.answers: Counter[AnswerKind] = Counter()
         published = follower.store
         histories = FollowedHistories()
         receipts = coordination.receipts
-        kept_s = settings.bounds.history_s + HISTORY_MARGIN_S
         self.resources: dict[str, Resource] = {
             CONFIGURATION: ConfigurationResource(control, published),
             SERVERS: ServerResource(control, heartbeats, settings.heartbeat_s),
@@ -104,7 +119,7 @@
             RETIREMENTS: RetirementResource(control, published, stores, limits_of(settings)),
             LOCKS: LockResource(control, receipts),
             NUMBERS: NumberResource(control),
-            KEYS: KeyResource(control, histories, receipts, kept_s),
+            KEYS: KeyResource(control, histories, receipts, events_kept_s(settings)),
             WATCHES: WatchResource(control, histories, coordination.hub),
         }
         control.endpoint.on(ApiCall, self.handle_forwarded)
@@ -119,6 +134,12 @@
             request.body,
             query.decode("latin-1"),
         )
+        reply = await self._reply(call)
+        name = _resource_name(call)
+        self.answers[AnswerKind(name if name in self.resources else UNKNOWN, reply.status)] += 1
+        return reply
+
+    async def _reply(self, call: ApiCall) -> Reply:
         name = _resource_name(call)
         if name not in self.resources:
             return Reply(404)
--- a/otterreach/soak/__main__.py
+++ b/otterreach/soak/__main__.py
@@ -15,7 +15,7 @@
 from cyclopts import App, Parameter
 
 from otterreach.soak.result import SoakResult
-from otterreach.soak.run import Soak
+from otterreach.soak.run import soak
 from otterreach.soak.setup import SoakSetup
 
 BROKEN_OFF = 130
@@ -46,7 +46,7 @@
     assert task is not None
     # Danger: ended at once, it would leave the system's processes behind.
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await Soak(setup, folder, quiet).run()
+    return await soak(setup, folder, quiet)
 
 
 @Parameter(name="*")
@@ -67,7 +67,7 @@
     callers: int = 1
     "A multiple of the usual number of callers."
     out: Path | None = None
-    "A folder for results, and for logs and disks of soaks that broke a rule."
+    "A folder for results, and for logs and disks of soaks that broke a rule or were late."
     quiet: bool = False
     "Only one line for each seed."
 
@@ -85,16 +85,17 @@
 
 
 def soak_seed(setup: SoakSetup, folder: Path, quiet: bool) -> bool:
-    """Soak one seed and tell of it; whether no rule was broken."""
+    """Soak one seed and tell of it; whether no rule was broken. What an earlier soak left in the folder is removed."""
+    shutil.rmtree(folder, ignore_errors=True)  # its disks know other addresses
     result = asyncio.run(play(setup, folder, quiet))
     result.write(folder)
     print(result.line(), flush=True)
     if result.violations:
         print(f"{result.details()}\n  kept in {folder}", flush=True)
-        return False
-    for part in ("disk", "logs", "settings"):
-        shutil.rmtree(folder / part, ignore_errors=True)
-    return True
+    elif not result.late:
+        for part in ("disk", "host", "logs", "settings"):
+            shutil.rmtree(folder / part, ignore_errors=True)
+    return not result.violations
 
 
 @app.default
