Controllers, proxies, job store: a SIGHUP during the start does not end the process

Cause: the handler is there once the loop runs.

Change: each role first imports a module that ignores SIGHUP. Nothing is missed: the settings are read after it, and again when their file changes.

--- a/otterreach/controller/__main__.py
+++ b/otterreach/controller/__main__.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import otterreach.runtime.ignore_hangup
 from otterreach.controller.node import ControllerNode
 from otterreach.runtime.journal import Journal, open_journal
 from otterreach.runtime.metrics_listener import MetricsListener
--- a/otterreach/jobstore/__main__.py
+++ b/otterreach/jobstore/__main__.py
@@ -8,6 +8,7 @@
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING
 
+import otterreach.runtime.ignore_hangup
 from otterreach.jobstore.disk_probe import wait_until_writable
 from otterreach.jobstore.graceful_shutdown import transfer_replicas
 from otterreach.jobstore.node import JobStoreNode
--- a/otterreach/proxy/__main__.py
+++ b/otterreach/proxy/__main__.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import otterreach.runtime.ignore_hangup
 from otterreach.proxy.node import Proxy
 from otterreach.runtime.metrics_listener import MetricsListener
 from otterreach.runtime.node import Node, on_signals, run_role
