--- a/otterreach/coordination/locks.py
+++ b/otterreach/coordination/locks.py
@@ -20,7 +20,8 @@
 from dataclasses import dataclass, replace
 from math import ceil
 
-EXPIRY_MARGIN_S = 0.05  # beyond `hold_ms`: steady clocks of two machines don't run at exactly the same rate
+EXPIRY_MARGIN_S = 0.05  # beyond `hold_ms`
+MAX_CLOCK_DRIFT = 0.001  # between two steady clocks, each of which may be slewed by 500 ppm
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,14 +78,19 @@
     """The hold that was to be renewed has ended. Nothing changes."""
 
 
+def _surely_passed_s(elapsed_s: float) -> float:
+    """How much of a time on this machine's clock has passed on the holder's as well."""
+    return elapsed_s * (1 - MAX_CLOCK_DRIFT)
+
+
 def is_over(hold: Hold, elapsed_s: float) -> bool:
     """Whether the holder has surely stopped counting itself as such."""
-    return elapsed_s >= hold.hold_ms / 1000 + EXPIRY_MARGIN_S
+    return _surely_passed_s(elapsed_s) >= hold.hold_ms / 1000 + EXPIRY_MARGIN_S
 
 
 def left_ms(hold: Hold, elapsed_s: float) -> int:
     """How long the hold lasts from now on, without the margin; 0 or less if its holder has stopped."""
-    return ceil(hold.hold_ms - elapsed_s * 1000)
+    return ceil(hold.hold_ms - _surely_passed_s(elapsed_s) * 1000)
 
 
 def _extended_ms(hold: Hold, elapsed_s: float, hold_ms: int) -> int:
