--- a/otterreach/controller/api/router.py
+++ b/otterreach/controller/api/router.py
@@ -110,7 +110,7 @@
         self.forwarder = Forwarder(control)
         self.answers: Counter[AnswerKind] = Counter()
         published = follower.store
-        histories = FollowedHistories()
+        self.histories = histories = FollowedHistories()
         receipts = coordination.receipts
         self.resources: dict[str, Resource] = {
             CONFIGURATION: ConfigurationResource(control, published),
