--- a/otterreach/controller/local_replica.py
+++ b/otterreach/controller/local_replica.py
@@ -199,6 +199,11 @@
         """Whether the accepted configuration names this controller as primary or backup."""
         return self.accepted is not None and self.id in self.accepted.members
 
+    @property
+    def is_witness(self) -> bool:
+        """Whether the accepted configuration names this controller at all."""
+        return self.accepted is not None and self.accepted.witness(self.id) is not None
+
     @property
     def info(self) -> ControllerInfo:
         """This controller as others know it."""
--- a/otterreach/controller/replication.py
+++ b/otterreach/controller/replication.py
@@ -27,12 +27,14 @@
 from otterreach.runtime.compaction import Compaction, Limits
 from otterreach.runtime.journal import Journal
 from otterreach.runtime.journal_format import Record
+from otterreach.runtime.records import CoreRecord
 from otterreach.runtime.relay import Follower
 from otterreach.runtime.rpc import Done, Endpoint
 from otterreach.runtime.settings import Settings
 from otterreach.runtime.store import Item, ReplicatedStore
 
 TICK_S = 0.05
+MAX_PUBLISHED_AGE_S = 1.0  # of the published state, for the primary that it names to count as heard
 REWRITE_LIMITS = Limits(4 * 1024 * 1024, 4.0)
 
 
@@ -115,8 +117,18 @@
 
     @property
     def live_primary_address(self) -> str:
-        """The address of a primary that was heard a moment ago; empty if none was."""
-        return self.replica.live_primary_address
+        """The address of a primary that was heard a moment ago; empty if none was.
+
+        A primary sends heartbeats to its witnesses alone; other controllers hear of it by the relay tree.
+        """
+        return self.replica.live_primary_address or self._published_primary_address()
+
+    def _published_primary_address(self) -> str:
+        """The primary as the published state names it, for a controller that is no witness."""
+        if self.replica.is_witness or self.follower.age_s() > MAX_PUBLISHED_AGE_S:
+            return ""
+        record = self.follower.store.record(CoreRecord)
+        return record.primary if record and record.primary != self.settings.address else ""
 
     def not_primary(self) -> Failure:
         """The answer to a call that only the primary takes."""
--- a/tests/controller/test_coordination_served.py
+++ b/tests/controller/test_coordination_served.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 from otterreach.controller.figures import controller_figures
@@ -35,6 +36,22 @@
 
         Cluster().play(scene)
 
+    # Guards against SHORT: a controller that is no witness, since one more would be of no use, answered 503 for good.
+    def test_calls_are_served_at_a_controller_outside_the_configuration(self) -> None:
+        async def scene(cluster: Cluster) -> None:
+            calls = Coordination(cluster)
+            outside = cluster.boxes[3]
+            await asyncio.sleep(2.0)
+            configuration = cluster.control(cluster.primary).accepted
+            assert configuration is not None
+            self.assertNotIn(outside.name, [witness.node for witness in configuration.witnesses])
+            self.assertEqual(200, (await calls.number(outside, "n1")).status)
+            self.assertEqual(200, (await calls.acquire(outside, "l1", "a3.7")).status)
+
+        cluster = Cluster(zones=(0, 1, 2, 0), survive={"nodes": 1, "zones": 1})
+        cluster.expected = 3
+        cluster.play(scene)
+
     # Guards against an incident that no figure shows: calls that are answered 404 or 503 leave no other trace.
     def test_answers_are_counted_by_resource_and_status(self) -> None:
         async def scene(cluster: Cluster) -> None:
