--- a/review/stand_ins/platform.py
+++ b/review/stand_ins/platform.py
@@ -28,7 +28,6 @@
 CTL_PORT = 8144
 METRICS_PORT = 9464
 OCTET_OF_CLASS = {"core": 10, "store": 30, "front": 50}
-RESTART_DELAY_S = 0.3  # of the platform, after a process has ended
 BOUNDS: dict[str, float | bool] = {  # the bounds of triedka-otterreach, SYSTEM.md
     "peerLagS": 3,
     "reuseS": 2,
@@ -104,11 +103,6 @@
         """The address for the platform's question whether the machine is ready."""
         return f"{self.ip}:{READY_PORT}"
 
-    @property
-    def pid(self) -> int:
-        """The id of the running process, or 0."""
-        return self.process.pid if self.process is not None and self.process.returncode is None else 0
-
     def settings(self, peers: list[str], bootstrap: bool) -> dict[str, object]:
         """Return the settings file's contents, as DEPLOY.md gives them."""
         binds = {
