--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""TWICE and REFUSED: a late extra copy of a `Not-Run` answer is taken for the answer to the next attempt.
+"""REFUSED, and TWICE beside it: a late extra copy of a `Not-Run` answer is taken for the answer to the next attempt.
 
 Clients send requests of a `mutating` route to a service of two servers that are full now and then. In the trouble, one
 of them sends an extra copy of a few of its answers in the place of the next one.
@@ -99,7 +99,7 @@
         return self.judge()
 
     def judge(self) -> int:
-        """Check the rules TWICE and REFUSED against what the servers and clients have seen."""
+        """Check the rule REFUSED against what the servers and clients have seen; TWICE is counted beside it."""
         runs: dict[str, int] = {}
         for server in self.servers:
             for ident, count in server.runs.items():
@@ -119,7 +119,7 @@
         print("\n".join(summary))
         if statuses.get(200, 0) < len(self.answers) / 4:
             return 2
-        return 1 if twice or refused else 0
+        return 1 if refused else 0
 
 
 def main() -> int:
--- a/review/stand_ins/application.py
+++ b/review/stand_ins/application.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
-from stand_ins.platform import System
+from stand_ins.platform import ZONES, System
 from stand_ins.record import Record
 from stand_ins.wire import Headers, Message, call_json, encode, read_message
 
@@ -52,7 +52,7 @@
             document = {
                 "backend": service,
                 "addr": self.address,
-                "az": "hall-a",
+                "az": ZONES[0],
                 "gen": "v1",
                 "cap": self.slots,
                 "state": "up",
