--- a/review/rig/engines.py
+++ b/review/rig/engines.py
@@ -17,9 +17,7 @@
     event_bytes: int = 280
     event_s: float = 0.04
 
-    async def work(
-        self, request: http.Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def work(self, request: http.Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Run an item, or turn it away if the server is full."""
         ident = request.headers["request-id"]
         if self.running >= self.cap or self.busy:
--- a/review/rig/http.py
+++ b/review/rig/http.py
@@ -54,9 +54,9 @@
         message.complete = False
 
 
-def request_bytes(method: str, path: str, host: str, headers: dict[str, str], body: bytes) -> bytes:
-    """Return the bytes of a request."""
-    lines = [f"{method} {path} HTTP/1.1", f"Host: {host}"]
+def request_bytes(method: str, path: str, headers: dict[str, str], body: bytes) -> bytes:
+    """Return the bytes of a request. The headers name the host."""
+    lines = [f"{method} {path} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in headers.items()]
     if body or method != "GET":
         lines.append(f"Content-Length: {len(body)}")
@@ -69,7 +69,6 @@
     path: str,
     body: bytes = b"",
     headers: dict[str, str] | None = None,
-    host: str = "",
     timeout_s: float = 1.0,
 ) -> Message | None:
     """Make one call on a new connection; None if there is no complete answer in time."""
@@ -78,7 +77,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(name, int(port))
-            writer.write(request_bytes(method, path, host or address, headers or {}, body))
+            writer.write(request_bytes(method, path, {"Host": address} | (headers or {}), body))
             await writer.drain()
             answer = await read_head(reader)
             if answer is not None and answer.status not in (204, 304):
--- a/review/rig/servers.py
+++ b/review/rig/servers.py
@@ -5,15 +5,17 @@
 import asyncio
 import json
 import random
+from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, TypeVar
 
 from rig import http
-from rig.system import HEARTBEAT_MS, System
+from rig.system import HEARTBEAT_MS, ZONES, System
 
 FIRST_PORT_OFFSET = 60
 REPORT_AGE_S = 0.2
+ServerT = TypeVar("ServerT", bound="Server")
 
 
 @dataclass
@@ -160,9 +162,7 @@
         await writer.drain()
         return request.headers.get("connection", "").lower() != "close" and bool(method)
 
-    async def work(
-        self, request: http.Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
+    async def work(self, request: http.Message, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Run a request for tokens or a plain one, and answer it."""
         ident = request.headers["request-id"]
         if self.running >= self.cap:
@@ -198,10 +198,6 @@
             self.reports.pop(0)
         return json.dumps(self.reports[0][1]).encode()
 
-    def note_report(self) -> None:
-        """Note the values of a report as they are now, for later reports."""
-        self.report()
-
     def order(self, request: http.Message, writer: asyncio.StreamWriter, peer: str) -> None:
         """Take or reject an order."""
         order = json.loads(request.body)
@@ -226,14 +222,14 @@
         if status.startswith("202"):
             self.taken += 1
             self.busy = True
-            self.note_report()
+            self.report()  # notes the values for later reports
             asyncio.get_running_loop().call_later(self.load_s, self._loaded, model, version)
         self.answer(request, writer, status)
 
     def _loaded(self, model: str, version: int) -> None:
         self.models[model] = version
         self.busy = False
-        self.note_report()
+        self.report()  # notes the values for later reports
         self.system.record(f"{self.ident} has version {version} of {model}")
 
     def stop(self) -> None:
@@ -244,8 +240,10 @@
             self.listener.close()
 
 
-def new_server(system: System, kind: type[Server], service: str, number: int, ident: str, **more: Any) -> Server:
+def new_server(
+    system: System, kind: Callable[..., ServerT], service: str, number: int, ident: str, **more: object
+) -> ServerT:
     """Return a server of this kind at an address of its own."""
-    zone = number % 3
+    zone = number % len(ZONES)
     ip = f"{system.net}.{zone + 1}.{100 + number}"
-    return kind(system, ident, service, ip, ("hall-a", "hall-b", "hall-c")[zone], system.port + FIRST_PORT_OFFSET, **more)
+    return kind(system, ident, service, ip, ZONES[zone], system.port + FIRST_PORT_OFFSET, **more)
--- a/review/rig/system.py
+++ b/review/rig/system.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import tomllib
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from pathlib import Path
 from typing import Any
@@ -274,16 +275,19 @@
         self._folder.cleanup()
 
 
+Play = Callable[[System], Awaitable[list[str]]]
+
+
 def trouble() -> bool:
     """Return False if the script is to run without its disruption."""
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-async def _played(play: Any, folder: Path, fronts: list[str]) -> int:
+async def _played(play: Play, folder: Path, fronts: list[str]) -> int:
     system = System(folder / "record.txt", fronts)
     try:
         async with asyncio.timeout(110.0):
-            broken: list[str] = await play(system)
+            broken = await play(system)
     except (RuntimeError, TimeoutError) as error:
         system.record(f"the case couldn't run: {error!r}")
         print(f"couldn't run: {error!r}")
@@ -299,6 +303,6 @@
     return 1 if broken else 0
 
 
-def run(play: Any, file: str, fronts: list[str]) -> None:
+def run(play: Play, file: str, fronts: list[str]) -> None:
     """Run a case: `play` gets the system and returns the breaks of its rule. Exits with 0, 1 or 2."""
     sys.exit(asyncio.run(_played(play, Path(file).resolve().parent, fronts)))
