Tests of crowds of clients that don't behave, as they fail on the code as it stands

Callers saw: a process that takes requests from outside can be made to hold as many bytes as there are clients; in a trial one ran out of memory. tests/crowds starts the system's processes on loopback addresses with lowered limits (128 MB a process, bodies of 4 MiB; the sidecar 48 MB) and sends crowds: whole bodies, pieces, large and tiny chunks, far over the limit, announced or just sent, pipelined, most stopping just short of the end and staying open, and many connections. Checked: the process lives, its peak memory (VmHWM, and with the bytes unread in the kernel) and its descriptors stay within its settings, and an ordinary call is answered afterwards.

They run one at a time after all others, also by `python3 -m scripts.test`, and their lines don't count against the list's cap. The plans of the load test can set the limits of processes and of bodies.

--- a/otterreach/loadtest/machines.py
+++ b/otterreach/loadtest/machines.py
@@ -77,6 +77,11 @@
         """True if the machine's process is running."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Process id of the last process; 0 before the first start."""
+        return self._process.pid if self._process else 0
+
     @property
     def exit_code(self) -> int | None:
         """Exit code of the last process; None while it runs, or before the first start."""
@@ -103,7 +108,14 @@
             "peers": seeds,
             "bootstrap": self.first_start,
             "counted": self.kind != "front",
-            "caps": {"cpuFrac": 1.0, "cores": 1, "ramMb": 300, "nofile": 4096, "netMbps": 1000.0, "diskMb": 400},
+            "caps": {
+                "cpuFrac": 1.0,
+                "cores": 1,
+                "ramMb": plan.machines.ram_mb,
+                "nofile": plan.machines.nofile,
+                "netMbps": 1000.0,
+                "diskMb": 400,
+            },
             "datadir": None if self.kind == "front" else str(self.disk),
             "discovery": "enlist",
             "entry": "vip",
--- a/otterreach/loadtest/plan.py
+++ b/otterreach/loadtest/plan.py
@@ -31,11 +31,13 @@
 
 @dataclass
 class Machines(_Row):
-    """Number of machines of each class, spread over the zones round-robin."""
+    """Number of machines of each class, spread over the zones round-robin, and the limits of each process."""
 
     front: int = 3
     store: int = 3
     core: int = 3
+    ram_mb: int = 300
+    nofile: int = 4096
 
 
 @dataclass
@@ -128,6 +130,7 @@
     zones: list[str] = field(default_factory=lambda: ["hall-a", "hall-b", "hall-c"])
     survive: int = 1
     heartbeat_ms: int = 1000
+    body_bytes: int = 32 * 1024 * 1024  # limit of a client's body
     seed: int = 1
     bounds: dict[str, Any] = field(default_factory=dict)  # override those of BOUNDS
     service: list[Service] = field(default_factory=list)
@@ -235,5 +238,5 @@
                 "models": [{"name": m} for m in s.models],
             }
         backends.append(backend)
-    caps = {"headerBytes": 16384, "bodyBytes": 33554432, "headerMs": 3000, "idleMs": 15000}
+    caps = {"headerBytes": 16384, "bodyBytes": plan.body_bytes, "headerMs": 3000, "idleMs": 15000}
     return {"gen": gen, "routes": routes, "backends": backends, "caps": caps}
--- /dev/null
+++ b/tests/crowds/__init__.py
@@ -0,0 +1,1 @@
+"""Crowds of clients that don't behave, against real processes with lowered limits."""
--- /dev/null
+++ b/tests/crowds/test_proxy.py
@@ -0,0 +1,62 @@
+"""Crowds at the two listeners of a proxy."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from otterreach.loadtest.plan import HOST
+from tests.crowds.clients import BODIES, Crowd, Kind
+from tests.crowds.deployments import BODY_BYTES, CLIENTS, CONNECTIONS, FEW_DESCRIPTORS, MIB, deployment, plan
+
+pytestmark = pytest.mark.crowd
+READYZ_BODY_BYTES = 36 * MIB  # largest body that this listener takes
+READYZ_CLIENTS = 12
+
+
+def head(prefix: str) -> str:
+    """Return the head of a client's request."""
+    return f"POST {prefix}{{n}} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: crowd-{{n}}\r\n"
+
+
+@pytest.mark.parametrize("kind", BODIES)
+def test_clients_of_a_route(kind: Kind, tmp_path: Path) -> None:
+    async def main() -> None:
+        async with deployment(tmp_path, plan()) as system:
+            crowd = Crowd(kind, CLIENTS, BODY_BYTES, head("/lookup/"))
+            await system.crowd(crowd, system.front, "front")
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("kind", [Kind.WHOLE, Kind.SMALL_CHUNKS])
+def test_clients_that_submit_batch_jobs(kind: Kind, tmp_path: Path) -> None:
+    async def main() -> None:
+        async with deployment(tmp_path, plan()) as system:
+            crowd = Crowd(kind, CLIENTS, BODY_BYTES, head("/samples/"))
+            await system.crowd(crowd, system.front, "front")
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("kind", BODIES)
+def test_readiness(kind: Kind, tmp_path: Path) -> None:
+    async def main() -> None:
+        async with deployment(tmp_path, plan()) as system:
+            crowd = Crowd(kind, READYZ_CLIENTS, READYZ_BODY_BYTES, f"POST /readyz HTTP/1.1\r\nHost: {HOST}\r\n")
+            await system.crowd(crowd, system.readyz, "front")
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("listener", ["front", "readyz"])
+def test_many_connections(listener: str, tmp_path: Path) -> None:
+    async def main() -> None:
+        async with deployment(tmp_path, plan(nofile=FEW_DESCRIPTORS)) as system:
+            crowd = Crowd(Kind.UNFINISHED_HEAD, CONNECTIONS, BODY_BYTES, head("/lookup/"))
+            address = system.front if listener == "front" else system.readyz
+            await system.crowd(crowd, address, "front", FEW_DESCRIPTORS)
+
+    asyncio.run(main())
--- a/tests/project/test_known_red.py
+++ b/tests/project/test_known_red.py
@@ -101,3 +101,45 @@
 def test_bad_lines_are_refused(text: str) -> None:
     with pytest.raises(KnownRedError):
         parse(text)
+
+
+CROWD_FOLDER = "tests/crowds"
+
+
+def crowd_line(test: str, path: str = f"{CROWD_FOLDER}/test_crowd.py") -> str:
+    """A line of the file for a test of a crowd."""
+    return f"{path}::{test} | pytest -k {test}, no seed | what | issue 1"
+
+
+def test_lines_of_crowds_do_not_count(project: pytest.Pytester) -> None:
+    folder = project.path / CROWD_FOLDER
+    folder.mkdir(parents=True)
+    names = [f"test_{number}" for number in range(5)]
+    (folder / "test_crowd.py").write_text("".join(f"def {name}():\n    assert False\n\n" for name in names))
+    list_tests(project, line("test_red"), line("test_other_red"), *(crowd_line(name) for name in names))
+    result = project.runpytest_inprocess()
+    result.assert_outcomes(passed=1, xfailed=7)
+    result.stdout.fnmatch_lines([f"{CROWD_FOLDER}/test_crowd.py::test_4: fails as known | what | issue 1"])
+
+
+def test_other_lines_still_count_beside_crowds() -> None:
+    lines = [crowd_line("test_crowd"), *(line(f"test_{number}") for number in range(4))]
+    with pytest.raises(KnownRedError, match="4 lines, at most 3"):
+        parse("\n".join(lines))
+
+
+@pytest.mark.parametrize("path", ["tests/crowds", "tests/crowds/test_crowd.py"])
+def test_a_line_of_a_crowd_names_a_single_test(path: str) -> None:
+    with pytest.raises(KnownRedError, match="expected a single test"):
+        parse(f"{path}/ | pytest, no seed | what | issue 1")
+
+
+@pytest.mark.parametrize("path", ["tests/crowd/test_a.py", "other/tests/crowds/test_a.py", "tests/crowds.py"])
+def test_only_the_folder_of_crowds_is_uncounted(path: str) -> None:
+    with pytest.raises(KnownRedError, match="4 lines, at most 3"):
+        parse("\n".join(crowd_line(f"test_{number}", path) for number in range(4)))
+
+
+def test_a_missing_test_of_a_crowd_is_an_error(project: pytest.Pytester) -> None:
+    list_tests(project, crowd_line("test_gone"))
+    assert project.runpytest_inprocess().ret == pytest.ExitCode.USAGE_ERROR
