Parser: one buffer for a body, and a bound on trailers and chunk extensions

Callers saw: one legal request in tiny chunks took many times its length: 4 MiB in chunks of one byte 384 MiB of a proxy, in chunks of two bytes 304 MiB. Cause: each chunk was kept as an object of its own in a list. Also, trailers and the extensions of chunks were bounded only by eight times the largest body, and a request that was rejected was kept until its connection ended. Change: the parts are appended to one bytearray; bytes after the last part of the body are bounded like a head; a rejected request is dropped at once.

--- a/otterreach/sidecar/http1.py
+++ b/otterreach/sidecar/http1.py
@@ -61,13 +61,24 @@
     complete, so the sizes seen by its callbacks don't bound the memory.
     """
 
-    __slots__ = ("ambiguous", "body", "body_size", "bounds", "head_size", "headers", "in_head", "raw_size")
+    __slots__ = (
+        "ambiguous",
+        "body",
+        "body_size",
+        "bounds",
+        "bytes_since_body",
+        "head_size",
+        "headers",
+        "in_head",
+        "raw_size",
+    )
 
     def __init__(self, bounds: Bounds) -> None:
         self.bounds = bounds
         self.headers: dict[bytes, bytes] = {}
-        self.body: list[bytes] = []
+        self.body = bytearray()  # one object for all parts: a list would need many times the size of tiny chunks
         self.raw_size = 0
+        self.bytes_since_body = 0  # raw bytes after the last part of the body: extensions of a chunk, or trailers
         self.head_size = 0
         self.body_size = 0
         self.in_head = True
@@ -76,7 +87,19 @@
     @property
     def head_too_large(self) -> bool:
         """True if the head exceeds its size limit."""
-        return self.head_size > self.bounds.head or self.in_head and self.raw_size > self.bounds.head
+        if self.head_size > self.bounds.head or self.in_head and self.raw_size > self.bounds.head:
+            return True
+        return self.bytes_since_body > self.bounds.head
+
+    @property
+    def buffered_size(self) -> int:
+        """Upper bound of the bytes that are kept of the message."""
+        return self.body_size + min(self.raw_size, self.bounds.head)
+
+    def add_raw(self, size: int, has_body: bool) -> None:
+        """Count raw bytes; `has_body`: some of them belong to the body."""
+        self.raw_size += size
+        self.bytes_since_body = 0 if has_body or self.in_head else self.bytes_since_body + size
 
     @property
     def too_large(self) -> bool:
@@ -113,7 +136,7 @@
         """Add a part of the body, up to the size limit."""
         self.body_size += len(data)
         if self.body_size <= self.bounds.body:
-            self.body.append(data)
+            self.body += data
 
     def end_head(self) -> None:
         """Complete the head, and mark a message with ambiguous framing."""
@@ -141,6 +164,11 @@
         """True if part of a request has been received."""
         return self._started or self._message.raw_size > 0
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Upper bound of the bytes that are kept of the request being received."""
+        return self._message.buffered_size
+
     @property
     def in_head(self) -> bool:
         """True if part of a request has been received and its head is incomplete."""
@@ -153,10 +181,17 @@
         """
         self._parser = None
 
+    def refuse(self, status: int) -> None:
+        """Drop the request being received; `status` becomes the error unless there is one."""
+        self.error = self.error or status
+        self._reset()
+        self.close()
+
     def feed(self, data: bytes) -> list[Request]:
         """Parse bytes and return the requests that they complete, including those before an error in the bytes."""
         if not self.error and self._parser:
             before = self._message
+            body_size = before.body_size
             try:
                 self._parser.feed_data(data)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade):  # upgrades aren't supported
@@ -166,9 +201,12 @@
                 if self._completed:
                     self._completed.pop()
             if before is self._message:
-                before.raw_size += len(data)
+                before.add_raw(len(data), before.body_size > body_size)
             if self._message.too_large:
                 self.error = self.error or self._too_large()
+            if self.error:
+                self._reset()
+                self.close()
         done = self._completed
         self._completed = []
         return done
@@ -212,9 +250,13 @@
         if message.too_large:
             self.error = self.error or self._too_large()
         if parser and not self.error:
-            body = b"".join(message.body)
+            body = bytes(message.body)
             keep = parser.should_keep_alive()
             self._completed.append(Request(parser.get_method(), self._target, message.headers, body, keep))
+        self._reset()
+
+    def _reset(self) -> None:
+        """Drop the state of the request being received."""
         self._message = _Message(self._bounds)
         self._target = b""
         self._started = False
@@ -271,7 +313,7 @@
         """
         message = self._message
         if self.response is None and self.status > HTTPStatus.OK and not message.framed and not self.broken:
-            self.response = Response(self.status, message.headers, b"".join(message.body), False)
+            self.response = Response(self.status, message.headers, bytes(message.body), False)
         return self.response
 
     def _mark_broken(self) -> None:
@@ -334,7 +376,7 @@
             message = self._message
             # Bytes above the size limit were dropped: the truncated body must not pass for a complete one.
             self.broken = message.too_large
-            body = b"".join(message.body)
+            body = bytes(message.body)
             keep = self._parser.should_keep_alive()
             self.response = None if self.broken else Response(self.status, message.headers, body, keep)
 
--- a/tests/sidecar/test_http1.py
+++ b/tests/sidecar/test_http1.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given, settings, strategies
 
-from otterreach.sidecar.http1 import RequestParser, ResponseParser, encode_response, parse_load
+from otterreach.sidecar.http1 import Bounds, RequestParser, ResponseParser, encode_response, parse_load
 
 TWO = (
     b"POST /once/1?x=%20 HTTP/1.1\r\nX-Trace-Id: a\r\nContent-Length: 3\r\n\r\nabc"
@@ -78,3 +78,46 @@
 )
 def test_load_reports(value: bytes | None, load: tuple[float, ...]) -> None:
     assert parse_load(value, ("queue", "inflight")) == load
+
+
+CHUNKED = b"POST /once/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+BOUNDS = Bounds(body=1000, head=100)
+
+
+def feed_in_pieces(parser: RequestParser, data: bytes, size: int = 50) -> int:
+    """Feed data until the parser rejects it; return the number of bytes that were fed."""
+    for offset in range(0, len(data), size):
+        if parser.error:
+            return offset
+        parser.feed(data[offset : offset + size])
+    return len(data)
+
+
+@pytest.mark.parametrize("size", [1, 2, 1000])
+def test_the_largest_body_is_taken_in_chunks_of_any_size(size: int) -> None:
+    parser = RequestParser(bounds=BOUNDS)
+    body = b"x" * BOUNDS.body
+    chunks = [b"%x\r\n%s\r\n" % (size, body[n : n + size]) for n in range(0, len(body), size)]
+    done = [request for part in (CHUNKED, *chunks, b"0\r\n\r\n") for request in parser.feed(part)]
+    assert [request.body for request in done] == [body]
+
+
+@pytest.mark.parametrize("start", [b"0\r\nX-Trailer: ", b"1;extension="])
+def test_trailers_and_extensions_are_as_short_as_a_head(start: bytes) -> None:
+    """They are not part of the body, and a trailer is kept until it is complete."""
+    parser = RequestParser(bounds=BOUNDS)
+    parser.feed(CHUNKED + b"3e8\r\n" + b"x" * BOUNDS.body + b"\r\n")
+    assert feed_in_pieces(parser, start + b"y" * 10_000) <= BOUNDS.head + 50
+    assert parser.error
+
+
+def test_a_rejected_request_is_not_kept() -> None:
+    parser = RequestParser(bounds=BOUNDS)
+    parser.feed(b"POST /once/1 HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + b"x" * 800)
+    assert parser.buffered_bytes >= 800
+    parser.refuse(503)
+    assert (parser.error, parser.buffered_bytes, parser.has_partial_request) == (503, 0, False)
+    assert parser.feed(b"x" * 100) == []
+    over = RequestParser(bounds=BOUNDS)
+    over.feed(CHUNKED + b"7d0\r\n" + b"x" * 2000)
+    assert (over.error, over.buffered_bytes) == (413, 0)
