Proxy: a body that is passed on stays one object

Callers saw: each large request that runs takes three times its length: its body, the encoded request and the buffer of the connection to the server, for each attempt. Cause: head and body were joined, and asyncio copies what the kernel does not take. Change: a body over 256 KiB is given to the transport in parts, each when the one before it has left; all attempts share the one object. What is not written yet counts as unsent, so a server can't have executed such a request, as before.

--- a/otterreach/proxy/exchange.py
+++ b/otterreach/proxy/exchange.py
@@ -67,7 +67,7 @@
 
 @dataclass(slots=True)
 class Outbound:
-    """A request as sent to servers. All attempts share it; `encode` adds the headers of one attempt."""
+    """A request as sent to servers. All attempts share it; `encode_head` adds the headers of one attempt."""
 
     method: bytes
     target: bytes
@@ -75,8 +75,8 @@
     body: bytes
     request_id: bytes
 
-    def encode(self, server: str, left_s: float, extra: Headers) -> bytes:
-        """Return the bytes of one attempt.
+    def encode_head(self, server: str, left_s: float, extra: Headers) -> bytes:
+        """Return the head of one attempt, which the body follows.
 
         :param left_s: time left, announced to the server in Deadline-Ms
         :param extra: headers of this attempt; they replace client headers of the same name
@@ -88,7 +88,7 @@
         lines.append(b"Deadline-Ms: %d" % max(1, int(left_s * 1000)))
         if self.body or self.method not in (b"GET", b"HEAD"):
             lines.append(b"Content-Length: %d" % len(self.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + self.body
+        return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
 def end_to_end_headers(headers: Headers, without: frozenset[bytes] = HOP_BY_HOP_HEADERS | PROXY_HEADERS) -> Headers:
@@ -165,7 +165,7 @@
         self._connection = connection
         self._parser = http1.ResponseParser(self._body, self._head, BOUNDS, require_framing=True)
         self.sent_at = self.loop.time()
-        connection.start(self, self.outbound.encode(self.server, left, self.extra))
+        connection.start(self, self.outbound.encode_head(self.server, left, self.extra), self.outbound.body)
         timer = self.loop.call_at(self.deadline, self.give_up, "timeout", True)
         try:
             return await self._done
--- a/otterreach/proxy/pools.py
+++ b/otterreach/proxy/pools.py
@@ -87,6 +87,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Remove the connection from its pool and notify its user."""
         self._change(State.CLOSED)
+        self._drop_body()
         user = self._user
         self._user = None
         if user:
@@ -104,12 +105,12 @@
         """Return True if the connection is open and has no unread data."""
         return self.state is not State.CLOSED and super().is_reusable()
 
-    def start(self, user: ConnectionUser, data: bytes) -> None:
+    def start(self, user: ConnectionUser, head: bytes, body: bytes) -> None:
         """Write a request and assign the connection to a user, which receives the answer."""
         self._change(State.BUSY)
         self._user = user
         self.use_count += 1
-        self._write(data)
+        self._write(head, body)
 
     def release(self) -> None:
         """Return the connection to the pool after a complete exchange, or close it if it can't be reused."""
--- a/otterreach/sidecar/transport.py
+++ b/otterreach/sidecar/transport.py
@@ -17,6 +17,7 @@
 
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: enabled, with a time-out of 0
+WRITE_BYTES = 256 * 1024  # part of a long body that is given to a transport at once: what it can't send, it copies
 P = TypeVar("P", bound=asyncio.Protocol)
 
 
@@ -28,6 +29,9 @@
         self.idle_since = 0.0  # monotonic time in seconds
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None  # None if the transport has no socket
+        self._body = b""  # of the request being written
+        self._written = 0  # bytes of it that the transport has been given
+        self._is_paused = False  # the transport has not sent all that it has been given
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The connection is open."""
@@ -42,11 +46,13 @@
 
     def pause_writing(self) -> None:
         """Record that the kernel's buffer is full and written bytes remain in the transport's buffer."""
+        self._is_paused = True
         self.has_unsent_data = True
 
     def resume_writing(self) -> None:
-        """Record that the kernel has accepted all written bytes."""
-        self.has_unsent_data = False
+        """Record that the kernel has accepted all written bytes, and write the next part of the body."""
+        self._is_paused = False
+        self._write_body()
 
     @property
     def closing(self) -> bool:
@@ -61,11 +67,34 @@
         """
         return not self.closing and (self._poll is None or not self._poll.poll(0))
 
-    def _write(self, data: bytes) -> None:
+    def _write(self, head: bytes, body: bytes = b"") -> None:
+        """Write a request; a short one in one piece, so that it is sent in a single packet."""
         assert self._transport
-        self._transport.write(data)
+        if len(body) <= WRITE_BYTES:
+            head += body
+            body = b""
+        self._body = body
+        self._written = 0
+        self._transport.write(head)
+        self._write_body()
+
+    def _write_body(self) -> None:
+        """Write the body until the transport is full. It stays one object, shared by all attempts of a request."""
+        assert self._transport
+        while self._written < len(self._body) and not self._is_paused and not self._transport.is_closing():
+            part = self._body[self._written : self._written + WRITE_BYTES]
+            self._written += len(part)
+            self._transport.write(part)
         # A write that fails immediately leaves the buffer empty; only the closing state of the transport shows it.
-        self.has_unsent_data = self.has_unsent_data or self._transport.is_closing()
+        self.has_unsent_data = self._is_paused or self._written < len(self._body) or self._transport.is_closing()
+        if self._written == len(self._body):
+            self._body = b""
+            self._written = 0
+
+    def _drop_body(self) -> None:
+        """Release the body; nothing more of it will be written."""
+        self._body = b""
+        self._written = 0
 
     def _reset_on_close(self) -> None:
         """Make the following close reset the connection, so that the kernel discards unsent data.
@@ -80,6 +109,7 @@
 
     def _abort(self) -> None:
         """Close without flushing: the rest of an abandoned request must not be sent."""
+        self._drop_body()
         if self._transport and not self._transport.is_closing():
             sock = self._transport.get_extra_info("socket")
             # The event loop closes the socket in a later iteration. Without this shutdown the attempt could be in
