Proxy: one budget for all that clients make it hold, and a limit on connections

Callers saw: 48 clients with bodies of 4 MiB, most of them stopping short of the end, made a proxy of 128 MB hold 221 to 227 MiB, in tiny chunks 2,759, pipelined 1,370; 700 clients with the beginning of a request took 714 of 512 descriptors. Cause: each request was bounded, their sum was not, and nor were connections; the kernel's receive buffers grew for connections that were not read. Change: `MemoryBudget`, a limit on the sum from `ramMb`. Each connection accounts what it holds: the request being received, those read ahead or running, unread answers. At the limit incomplete requests are refused with 503 (they have not run), first those that hold much and have made no progress for long; requests that run stay. A reserve lets small requests through, and a client that is nearly alone may exceed the limit. Long bodies are no longer read ahead behind a request that runs. Connections have a limit from `nofile`: the quietest one without a request that runs is closed.

--- a/otterreach/proxy/ingress.py
+++ b/otterreach/proxy/ingress.py
@@ -11,10 +11,15 @@
 from otterreach.runtime.histogram import Histogram
 from otterreach.runtime.log import log
 from otterreach.sidecar import http1
-from otterreach.sidecar.transport import AcceptedConnection
+from otterreach.sidecar.connection_limit import make_room
+from otterreach.sidecar.memory_budget import MemoryBudget, unlimited
+from otterreach.sidecar.transport import AcceptedConnection, bound_receive_buffers
 
 BACKLOG = 1024
 MAX_PIPELINED = 8  # requests read ahead on one connection
+MAX_READ_AHEAD_BYTES = 64 * 1024  # bodies read ahead on one connection while a request runs
+MAX_CONNECTIONS = 4096  # without settings
+OVERLOAD_RETRY_AFTER_S = 0.5  # for a request that doesn't fit into the memory
 SWEEP_INTERVAL_S = 0.25
 LINGER_S = 1.0  # time for the client to read an error answer before the connection is closed
 UNREAD_TIMEOUT_S = 10.0  # time after which an answer that the client does not read is aborted
@@ -66,6 +71,9 @@
         self._last_activity_at = self._loop.time()  # time of the last received byte or completed answer
         self._first_byte_at = self._last_activity_at  # first byte of the request being read
         self._unread_since = 0.0
+        self._queued_bytes = 0  # bodies of the requests in the queue
+        self._extra_bytes = 0  # copies of the body of the request being handled
+        self._reservation = ingress.budget.reserve(self)
         self.first_byte_at = 0.0  # first byte of the request being handled
         self.received_at = 0.0  # last byte of the request being handled
 
@@ -92,16 +100,70 @@
         """Register the connection with the ingress."""
         super().connection_made(transport)
         self._ingress.clients.add(self)
+        make_room(self._ingress.clients, self, self._ingress.max_connections)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request being handled and drop the queued ones."""
         self._closing = True
         self._ingress.clients.discard(self)
         self._parser.close()
-        self._queue.clear()
+        self._clear_queue()
+        self._request = None
+        self._reservation.release()
         if self._task:
             self._task.cancel()
 
+    # Limits --------------------------------------------------------------------------------------
+
+    @property
+    def is_evictable(self) -> bool:
+        """True if the connection can be closed in favour of a new one."""
+        return not self.is_closed and not self.has_pending_answer and not self.has_unread_data
+
+    @property
+    def quiet_since(self) -> float:
+        """Time of the last received byte or completed answer."""
+        return self._last_activity_at
+
+    def _update_reservation(self) -> bool:
+        """Account what is held for this client; return False if it doesn't fit."""
+        if self._transport is None or self._transport.is_closing():
+            self._reservation.release()
+            return True
+        running = len(self._request.body) + self._extra_bytes if self._request else 0
+        other = self._queued_bytes + running + self._transport.get_write_buffer_size()
+        return self._reservation.update(self._parser.buffered_bytes, other)
+
+    def evict(self) -> None:
+        """Refuse the request being received: it has not run. Answers to earlier requests come first."""
+        self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
+        self._update_reservation()
+        if not self._task and not self._queue:
+            self._reject(int(self._parser.error))
+
+    def _refuse_newest(self) -> None:
+        """Refuse the newest request that has not begun to run, and all that follow it."""
+        if not self._parser.has_partial_request and self._queue:
+            request, _, _ = self._queue.pop()
+            self._queued_bytes -= len(request.body)
+        self.evict()
+
+    def hold_copies(self, copies: int) -> bool:
+        """Account further copies of the body of the request being handled; return False if they don't fit."""
+        assert self._request is not None
+        self._extra_bytes = copies * len(self._request.body)
+        if self._update_reservation():
+            return True
+        self._extra_bytes = 0
+        self._update_reservation()
+        return False
+
+    def _clear_queue(self) -> None:
+        self._queue.clear()
+        self._queued_bytes = 0
+
+    # Requests ------------------------------------------------------------------------------------
+
     def data_received(self, data: bytes) -> None:
         """Parse received bytes and queue complete requests."""
         if self._closing or self._parser.error:
@@ -112,12 +174,20 @@
             self._first_byte_at = now
         for request in self._parser.feed(data):
             self._queue.append((request, self._first_byte_at, now))
+            self._queued_bytes += len(request.body)
             self._first_byte_at = now
-        if len(self._queue) > MAX_PIPELINED and self._transport:
-            self._paused = True
-            self._transport.pause_reading()
+        if not self._update_reservation():
+            self._refuse_newest()
         if not self._task:
             self._start_next()
+        if self._reads_too_far_ahead and self._transport and not self._closing:
+            self._paused = True
+            self._transport.pause_reading()
+
+    @property
+    def _reads_too_far_ahead(self) -> bool:
+        """True if further requests have to wait in the kernel."""
+        return len(self._queue) > MAX_PIPELINED or self._queued_bytes > MAX_READ_AHEAD_BYTES
 
     def _start_next(self) -> None:
         """Handle the next request that has been read, in order."""
@@ -131,7 +201,8 @@
                 self._send_continue()
             return
         self._request, self.first_byte_at, self.received_at = self._queue.popleft()
-        if self._paused and len(self._queue) <= MAX_PIPELINED:
+        self._queued_bytes -= len(self._request.body)
+        if self._paused and not self._reads_too_far_ahead:
             self._paused = False
             self._transport.resume_reading()
         self._task = self._loop.create_task(self._handle_request(self._request))
@@ -152,6 +223,8 @@
                 self.abort() if self._is_streaming else self.respond(int(HTTPStatus.BAD_GATEWAY))
         finally:
             self._task = None
+            self._extra_bytes = 0
+            self._update_reservation()
         if self._request is request and not self.is_closed:
             self.abort()  # the handler sent no answer
             return
@@ -230,13 +303,16 @@
         Closing a connection with unread input resets it, and the client would not get to read the answer. So only the
         sending side is closed first, and the connection is aborted after LINGER_S.
         """
-        self._queue.clear()
+        self._clear_queue()
         if self._transport and not self._closing:
-            self._transport.write(http1.encode_response(status, close=True))
+            retry_after_s = OVERLOAD_RETRY_AFTER_S if status == HTTPStatus.SERVICE_UNAVAILABLE else 0.0
+            self._transport.write(http1.encode_response(status, retry_after_s=retry_after_s, close=True))
             if self._transport.can_write_eof():
                 self._transport.write_eof()
             self._loop.call_later(LINGER_S, self.abort)
         self._closing = True
+        self._parser.refuse(status)
+        self._update_reservation()
 
     def sweep(self, now: float, caps: Caps) -> None:
         """Enforce the time limits of the connection."""
@@ -245,6 +321,7 @@
         if self._paused and self.closed_by_peer:  # while reading is paused, the event loop does not report end of file
             self.abort()
             return
+        self._update_reservation()
         if not self._transport.get_write_buffer_size():
             self._unread_since = now
         elif now - self._unread_since > UNREAD_TIMEOUT_S:
@@ -292,9 +369,18 @@
 class Ingress:
     """The listener for clients."""
 
-    def __init__(self, handler: Handler, caps: Callable[[], Caps]) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        caps: Callable[[], Caps],
+        budget: MemoryBudget | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+    ) -> None:
+        """:param budget: of the memory for callers; by default without a limit"""
         self.handler = handler
         self.caps = caps
+        self.budget = budget or unlimited()
+        self.max_connections = max_connections
         self.clients: set[Client] = set()
         self.shutting_down = False
         self.answers: Counter[int] = Counter()  # by status
@@ -316,7 +402,11 @@
         :raises OSError: if the address can't be bound
         """
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(lambda: Client(self), host, port, backlog=BACKLOG, reuse_address=True)
+        # asyncio accepts up to `backlog` connections before it closes any of them.
+        backlog = min(BACKLOG, self.max_connections)
+        self._server = await loop.create_server(lambda: Client(self), host, port, backlog=backlog, reuse_address=True)
+        for listener in self._server.sockets:
+            bound_receive_buffers(listener)
         return int(self._server.sockets[0].getsockname()[1])
 
     async def sweep(self) -> None:
--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -15,6 +15,7 @@
 from otterreach.proxy.requests import Requests, decode_latin1, parse_number, path_of
 from otterreach.proxy.runner import Runner
 from otterreach.proxy.streams import Streams
+from otterreach.runtime.caller_limits import max_connections, memory_budget
 from otterreach.runtime.configuration import ROLLOUT, STREAM
 from otterreach.runtime.http import JsonServer, Reply
 from otterreach.runtime.http_client import JsonClient
@@ -45,7 +46,9 @@
         self.runner = Runner(self.fleet, node.endpoint, node.settings, node.follower.age_s)
         self.batch_jobs = BatchJobs(self.runner.directory)
         self.orders = WeightOrders(node, JsonClient())
-        self.ingress = Ingress(self.handle, lambda: self.fleet.config.caps)
+        budget = memory_budget(node.settings)
+        connections = max_connections(node.settings)
+        self.ingress = Ingress(self.handle, lambda: self.fleet.config.caps, budget, connections)
         self.probes = JsonServer(self._probe)
         self.shutting_down = False
         self._been_ready = False
--- /dev/null
+++ b/otterreach/runtime/caller_limits.py
@@ -0,0 +1,24 @@
+"""Limits on what the callers of a process make it hold, from the settings of the process."""
+
+from __future__ import annotations
+
+from otterreach.runtime.settings import Settings
+from otterreach.sidecar.memory_budget import MemoryBudget
+
+MEMORY_SHARE = 0.35  # of `ramMb`; the rest is for the program, its state, and copies of a body that is passed on
+SINGLE_MEMORY_SHARE = 0.6  # of `ramMb`, for a single request with all its copies while hardly any other is there
+DESCRIPTOR_SHARE = 0.5  # of the descriptors that are free, for callers; the rest is for servers, peers and files
+RESERVED_DESCRIPTORS = 200
+MIN_CONNECTIONS = 16
+BYTES_PER_MB = 1024 * 1024
+
+
+def memory_budget(settings: Settings) -> MemoryBudget:
+    """Return the budget that all listeners of a process share."""
+    ram_bytes = settings.ram_mb * BYTES_PER_MB
+    return MemoryBudget(int(ram_bytes * MEMORY_SHARE), int(ram_bytes * SINGLE_MEMORY_SHARE))
+
+
+def max_connections(settings: Settings) -> int:
+    """Return the number of connections that one listener keeps open."""
+    return max(MIN_CONNECTIONS, int((settings.nofile - RESERVED_DESCRIPTORS) * DESCRIPTOR_SHARE))
--- a/otterreach/sidecar/transport.py
+++ b/otterreach/sidecar/transport.py
@@ -16,6 +16,9 @@
 from typing import TypeVar
 
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
+# Of a listener, inherited by its connections. The kernel's own choice grows to megabytes for a connection that is not
+# read, and unread bytes count as memory of the process.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: enabled, with a time-out of 0
 WRITE_BYTES = 256 * 1024  # part of a long body that is given to a transport at once: what it can't send, it copies
 P = TypeVar("P", bound=asyncio.Protocol)
@@ -152,6 +155,12 @@
         return sum(flags for _, flags in self._poll.poll(0))
 
 
+def bound_receive_buffers(listener: socket.socket) -> None:
+    """Bound the unread bytes that the kernel keeps for each connection accepted by a listener."""
+    with suppress(OSError):  # a platform that refuses keeps its own limit
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 async def open_tcp(address: tuple[str, int], factory: Callable[[], P]) -> P:
     """Open a TCP connection to an address whose host is a numeric IPv4 address.
 
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -81,6 +81,9 @@
     def getsockname(self) -> tuple[str, int]:
         return self._address
 
+    def setsockopt(self, *_: int) -> None:
+        """Connections in memory have no buffers of a kernel."""
+
     def close(self) -> None:
         self._memory.listeners.pop(self._address, None)
 
