Controller and readiness: the budget also holds for calls with JSON bodies

Callers saw: 12 callers with bodies of 36 MiB made a controller of 128 MB hold 422 to 500 MiB, in tiny chunks 1,606, pipelined 855, and a proxy as much by way of its readiness probe (359 to 1,764); a body of 12 MiB of empty lists alone 307; 700 callers took 714 of 512 descriptors. Cause: `JsonServer` bounded one body only, whatever the resource took of it, and decoding a document of tiny values takes many times its length. Change: `JsonServer` draws on the process's budget like the clients' listener, counts what decoding a document will need before it is decoded (`json_size`), reads long bodies ahead no more, and has a limit on connections. A call that doesn't fit now is answered 503, one that never fits on this machine 413. Readiness takes 64 KiB.

--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -21,9 +21,11 @@
 from otterreach.controller.survival import limits_of
 from otterreach.controller.watch_hub import WatchHub
 from otterreach.controller.watcher import LivenessReporter
+from otterreach.runtime.caller_limits import max_connections, memory_budget
 from otterreach.runtime.http import JsonServer
 from otterreach.runtime.journal import Journal
 from otterreach.runtime.journal_format import Record
+from otterreach.runtime.json_size import decoded_size
 from otterreach.runtime.log import log
 from otterreach.runtime.node import Node
 from otterreach.runtime.records import CoreRecord, MemberRole, ServerRecord, put
@@ -70,7 +72,9 @@
         self.event_collection = EventCollection(
             self.control, self.api.histories, self.receipts, event_retention_s(settings)
         )
-        self.server = JsonServer(self.api.handle)
+        self.server = JsonServer(
+            self.api.handle, memory_budget(settings), max_connections(settings), working_size=decoded_size
+        )
         self._stable_from = 0.0  # from this time on, missing heartbeats are acted on
         self._planned_at = clock()  # time of the last iteration of `_plan`; a long gap between them is a stall
         self._stall_ended_at = -STALL_REJECTION_S
--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -26,6 +26,8 @@
 from otterreach.sidecar.transport import open_tcp
 
 READY_AGE_S = 1.2  # maximum age of the replica of the control state for becoming ready
+MAX_PROBE_CONNECTIONS = 64
+MAX_PROBE_BODY = 64 * 1024  # a readiness probe has none
 READINESS_DELAY_S = 2.6  # time after which the platform sends no new connections to a node that is not ready
 SHUTDOWN_MARGIN_S = 0.8  # time between the end of the shutdown and the end of graceS
 CONFIGURATION_WAIT_SHARE = 0.5  # share of a request's time that it may wait for the first configuration
@@ -49,7 +51,7 @@
         budget = memory_budget(node.settings)
         connections = max_connections(node.settings)
         self.ingress = Ingress(self.handle, lambda: self.fleet.config.caps, budget, connections)
-        self.probes = JsonServer(self._probe)
+        self.probes = JsonServer(self._probe, budget, MAX_PROBE_CONNECTIONS, MAX_PROBE_BODY)
         self.shutting_down = False
         self._been_ready = False
         self._configured = asyncio.Event()
--- a/otterreach/runtime/http.py
+++ b/otterreach/runtime/http.py
@@ -6,12 +6,19 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from http import HTTPStatus
 
 from otterreach.runtime.log import log
 from otterreach.sidecar import http1
-from otterreach.sidecar.transport import AcceptedConnection
+from otterreach.sidecar.connection_limit import make_room
+from otterreach.sidecar.memory_budget import MemoryBudget, unlimited
+from otterreach.sidecar.transport import AcceptedConnection, bound_receive_buffers
 
 MAX_BODY = 36 * 1024 * 1024
+BACKLOG = 256
+MAX_CONNECTIONS = 4096  # without settings
+MAX_READ_AHEAD_BYTES = 64 * 1024  # bodies read ahead on one connection while a request is handled
+OVERLOAD_RETRY_AFTER = ("Retry-After", "0.500")  # for a request that doesn't fit into the memory
 IDLE_TIMEOUT_S = 75.0
 LINGER_S = 2.0  # time after an error response in which the client may go on sending before the connection is aborted
 MAX_PIPELINED = 8  # maximum number of requests read ahead on one connection
@@ -56,8 +63,12 @@
     def __init__(self, server: JsonServer) -> None:
         super().__init__()
         self.server = server
-        self._parser = http1.RequestParser(MAX_BODY)
+        self._parser = http1.RequestParser(server.max_body)
         self._queue: deque[http1.Request] = deque()
+        self._queued_bytes = 0  # bodies of the requests in the queue
+        self._handled_bytes = 0  # of the request being handled: its body and what handling it needs
+        self._reservation = server.budget.reserve(self)
+        self._last_activity_at = 0.0
         self._answer_task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._closing = False  # true once no further request may be handled
@@ -66,16 +77,62 @@
         """Register the open connection and start its idle timer."""
         super().connection_made(transport)
         self.server.callers.add(self)
+        self._last_activity_at = asyncio.get_running_loop().time()
+        make_room(self.server.callers, self, self.server.max_connections)
         self._start_idle_timer(IDLE_TIMEOUT_S)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Drop the queued requests and stop the timer."""
         self.server.callers.discard(self)
         self._closing = True
-        self._queue.clear()  # their responses could not be delivered
-        self._parser.close()
+        self._clear_queue()  # their responses could not be delivered
+        self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
+        self._reservation.release()
         self._stop_timer()
 
+    # Limits --------------------------------------------------------------------------------------
+
+    @property
+    def is_closed(self) -> bool:
+        """True if the connection is being closed."""
+        return self._closing or self._transport is None or self._transport.is_closing()
+
+    @property
+    def is_evictable(self) -> bool:
+        """True if the connection can be closed in favour of a new one."""
+        return not self.is_closed and not self._answer_task and not self._queue and not self.has_unread_data
+
+    @property
+    def quiet_since(self) -> float:
+        """Time of the last received byte or response."""
+        return self._last_activity_at
+
+    def _update_reservation(self) -> bool:
+        """Account what is held for this caller; return False if it doesn't fit."""
+        if self._transport is None or self._transport.is_closing():
+            self._reservation.release()
+            return True
+        other = self._queued_bytes + self._handled_bytes + self._transport.get_write_buffer_size()
+        return self._reservation.update(self._parser.buffered_bytes, other)
+
+    def evict(self) -> None:
+        """Refuse the request being received; responses to earlier ones come first."""
+        self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
+        self._update_reservation()
+        self._start_answering()
+
+    def _refuse_newest(self) -> None:
+        """Refuse the newest request that is not being handled, and all that follow it."""
+        if not self._parser.has_partial_request and self._queue:
+            self._queued_bytes -= len(self._queue.pop().body)
+        self.evict()
+
+    def _clear_queue(self) -> None:
+        self._queue.clear()
+        self._queued_bytes = 0
+
+    # Requests ------------------------------------------------------------------------------------
+
     def _stop_timer(self) -> None:
         if self._timer:
             self._timer.cancel()
@@ -103,15 +160,28 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the received bytes and start handling the queued requests."""
-        if self._closing:
+        if self._closing or self._parser.error:
             return
-        self._queue.extend(self._parser.feed(data))
-        if len(self._queue) > MAX_PIPELINED and self._transport:
+        self._last_activity_at = asyncio.get_running_loop().time()
+        for request in self._parser.feed(data):
+            self._queue.append(request)
+            self._queued_bytes += len(request.body)
+        if not self._update_reservation():
+            self._refuse_newest()
+        if self._reads_too_far_ahead and self._transport:
             self._transport.pause_reading()
-        if self._answer_task:
-            return
-        self._send_continue()
-        if self._queue or self._parser.error:
+        if not self._answer_task:
+            self._send_continue()
+            self._start_answering()
+
+    @property
+    def _reads_too_far_ahead(self) -> bool:
+        """True if further requests have to wait in the kernel."""
+        return len(self._queue) > MAX_PIPELINED or self._queued_bytes > MAX_READ_AHEAD_BYTES
+
+    def _start_answering(self) -> None:
+        """Start handling the queued requests, or respond to a refused one."""
+        if not self._answer_task and (self._queue or self._parser.error):
             self._stop_timer()
             self._answer_task = asyncio.ensure_future(self._answer_queue())
 
@@ -127,14 +197,17 @@
     async def _answer_queue(self) -> None:
         while self._queue and not self._closing:
             request = self._queue.popleft()
-            if len(self._queue) <= MAX_PIPELINED and self._transport:
+            self._queued_bytes -= len(request.body)
+            if not self._reads_too_far_ahead and self._transport:
                 self._transport.resume_reading()
-            self._respond(request, await self._handle(request))
+            self._respond(request, await self._handle_within_budget(request))
         self._answer_task = None
         if self._closing or self._transport is None or self._transport.is_closing():
             return
         if self._parser.error:
-            self._transport.write(encode_reply(Reply(int(self._parser.error)), True))
+            is_overloaded = self._parser.error == HTTPStatus.SERVICE_UNAVAILABLE
+            headers = (OVERLOAD_RETRY_AFTER,) if is_overloaded else ()
+            self._transport.write(encode_reply(Reply(int(self._parser.error), headers=headers), True))
             if self._transport.can_write_eof():
                 self._transport.write_eof()
             self._start_idle_timer(LINGER_S)
@@ -142,6 +215,20 @@
             self._send_continue()
             self._start_idle_timer(IDLE_TIMEOUT_S)
 
+    async def _handle_within_budget(self, request: http1.Request) -> Reply:
+        """Handle a request if there is memory for it. Otherwise it has not been handled and never will be."""
+        needed_bytes = len(request.body) + self.server.working_size(request.body)
+        self._handled_bytes = needed_bytes
+        try:
+            if self._update_reservation():
+                return await self._handle(request)
+        finally:
+            self._handled_bytes = 0
+            self._update_reservation()
+        if needed_bytes > self.server.budget.max_single_bytes:
+            return Reply(int(HTTPStatus.REQUEST_ENTITY_TOO_LARGE))
+        return Reply(int(HTTPStatus.SERVICE_UNAVAILABLE), headers=(OVERLOAD_RETRY_AFTER,))
+
     async def _handle(self, request: http1.Request) -> Reply:
         try:
             return await self.server.handle(request)
@@ -156,7 +243,7 @@
         self._transport.write(encode_reply(reply, close, request.headers.get(REQUEST_ID)))
         if close:
             self._closing = True
-            self._queue.clear()
+            self._clear_queue()
             self._transport.close()
 
     def close_if_idle(self) -> None:
@@ -168,8 +255,23 @@
 class JsonServer:
     """A server that passes each complete request to `handle`."""
 
-    def __init__(self, handle: Handle) -> None:
+    def __init__(
+        self,
+        handle: Handle,
+        budget: MemoryBudget | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+        max_body: int = MAX_BODY,
+        working_size: Callable[[bytes], int] = len,
+    ) -> None:
+        """:param budget: of the memory for callers; by default without a limit
+
+        :param working_size: returns the bytes that handling a body needs in addition to it
+        """
         self.handle = handle
+        self.budget = budget or unlimited()
+        self.max_connections = max_connections
+        self.max_body = max_body
+        self.working_size = working_size
         self.callers: set[_CallerConnection] = set()
         self.stopping = False
         self._server: asyncio.Server | None = None
@@ -177,7 +279,10 @@
     async def listen(self, host: str, port: int) -> int:
         """Accept connections and return the port. Raise OSError if the port can't be bound."""
         loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(self.accept, host, port, backlog=256, reuse_address=True)
+        backlog = min(BACKLOG, self.max_connections)
+        self._server = await loop.create_server(self.accept, host, port, backlog=backlog, reuse_address=True)
+        for listener in self._server.sockets:
+            bound_receive_buffers(listener)
         return int(self._server.sockets[0].getsockname()[1])
 
     def accept(self) -> asyncio.Protocol:
