Budget: unread bytes of paused connections count, and no reference cycle is left

Cause: bytes that the kernel keeps for a connection whose reading is paused count as memory of the process, but not in the budget. Change: a paused connection accounts its receive buffer; the end of a connection closes its reservation.

--- a/otterreach/proxy/ingress.py
+++ b/otterreach/proxy/ingress.py
@@ -13,7 +13,12 @@
 from otterreach.sidecar import http1
 from otterreach.sidecar.connection_limit import make_room
 from otterreach.sidecar.memory_budget import MemoryBudget, unlimited
-from otterreach.sidecar.transport import AcceptedConnection, bound_receive_buffers
+from otterreach.sidecar.transport import (
+    RECEIVE_BUFFER_BYTES,
+    RECEIVE_BUFFER_FACTOR,
+    AcceptedConnection,
+    bound_receive_buffers,
+)
 
 BACKLOG = 1024
 MAX_PIPELINED = 8  # requests read ahead on one connection
@@ -109,7 +114,7 @@
         self._parser.close()
         self._clear_queue()
         self._request = None
-        self._reservation.release()
+        self._reservation.close()
         if self._task:
             self._task.cancel()
 
@@ -131,7 +136,8 @@
             self._reservation.release()
             return True
         running = len(self._request.body) + self._extra_bytes if self._request else 0
-        other = self._queued_bytes + running + self._transport.get_write_buffer_size()
+        unread = RECEIVE_BUFFER_BYTES * RECEIVE_BUFFER_FACTOR if self._paused else 0
+        other = self._queued_bytes + running + self._transport.get_write_buffer_size() + unread
         return self._reservation.update(self._parser.buffered_bytes, other)
 
     def evict(self) -> None:
@@ -176,13 +182,13 @@
             self._queue.append((request, self._first_byte_at, now))
             self._queued_bytes += len(request.body)
             self._first_byte_at = now
-        if not self._update_reservation():
-            self._refuse_newest()
         if not self._task:
             self._start_next()
         if self._reads_too_far_ahead and self._transport and not self._closing:
             self._paused = True
             self._transport.pause_reading()
+        if not self._update_reservation():
+            self._refuse_newest()
 
     @property
     def _reads_too_far_ahead(self) -> bool:
--- a/otterreach/runtime/http.py
+++ b/otterreach/runtime/http.py
@@ -12,7 +12,12 @@
 from otterreach.sidecar import http1
 from otterreach.sidecar.connection_limit import make_room
 from otterreach.sidecar.memory_budget import MemoryBudget, unlimited
-from otterreach.sidecar.transport import AcceptedConnection, bound_receive_buffers
+from otterreach.sidecar.transport import (
+    RECEIVE_BUFFER_BYTES,
+    RECEIVE_BUFFER_FACTOR,
+    AcceptedConnection,
+    bound_receive_buffers,
+)
 
 MAX_BODY = 36 * 1024 * 1024
 BACKLOG = 256
@@ -67,6 +72,7 @@
         self._queue: deque[http1.Request] = deque()
         self._queued_bytes = 0  # bodies of the requests in the queue
         self._handled_bytes = 0  # of the request being handled: its body and what handling it needs
+        self._paused = False  # reading is paused
         self._reservation = server.budget.reserve(self)
         self._last_activity_at = 0.0
         self._answer_task: asyncio.Task[None] | None = None
@@ -87,7 +93,7 @@
         self._closing = True
         self._clear_queue()  # their responses could not be delivered
         self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
-        self._reservation.release()
+        self._reservation.close()
         self._stop_timer()
 
     # Limits --------------------------------------------------------------------------------------
@@ -112,7 +118,8 @@
         if self._transport is None or self._transport.is_closing():
             self._reservation.release()
             return True
-        other = self._queued_bytes + self._handled_bytes + self._transport.get_write_buffer_size()
+        unread = RECEIVE_BUFFER_BYTES * RECEIVE_BUFFER_FACTOR if self._paused else 0
+        other = self._queued_bytes + self._handled_bytes + self._transport.get_write_buffer_size() + unread
         return self._reservation.update(self._parser.buffered_bytes, other)
 
     def evict(self) -> None:
@@ -166,10 +173,11 @@
         for request in self._parser.feed(data):
             self._queue.append(request)
             self._queued_bytes += len(request.body)
-        if not self._update_reservation():
-            self._refuse_newest()
         if self._reads_too_far_ahead and self._transport:
+            self._paused = True
             self._transport.pause_reading()
+        if not self._update_reservation():
+            self._refuse_newest()
         if not self._answer_task:
             self._send_continue()
             self._start_answering()
@@ -198,7 +206,8 @@
         while self._queue and not self._closing:
             request = self._queue.popleft()
             self._queued_bytes -= len(request.body)
-            if not self._reads_too_far_ahead and self._transport:
+            if self._paused and not self._reads_too_far_ahead and self._transport:
+                self._paused = False
                 self._transport.resume_reading()
             self._respond(request, await self._handle_within_budget(request))
         self._answer_task = None
--- a/otterreach/sidecar/memory_budget.py
+++ b/otterreach/sidecar/memory_budget.py
@@ -36,7 +36,7 @@
 
     def __init__(self, budget: MemoryBudget, holder: Holder) -> None:
         self._budget = budget
-        self.holder = holder
+        self.holder: Holder | None = holder  # None once closed
         self.incomplete_bytes = 0  # of the request that is being received
         self.other_bytes = 0  # of requests that wait or run, and of unread answers
         self.progress_at = 0.0
@@ -56,6 +56,8 @@
 
         A reservation whose own incomplete request was evicted fits afterwards.
         """
+        if self.holder is None:
+            return True
         growth = incomplete_bytes + other_bytes - self.held_bytes
         self.incomplete_bytes = incomplete_bytes
         self.other_bytes = other_bytes
@@ -65,6 +67,11 @@
         """Give everything back."""
         self.update(0, 0)
 
+    def close(self) -> None:
+        """Give everything back for good, and break the reference cycle with the holder."""
+        self.release()
+        self.holder = None
+
 
 class MemoryBudget:
     """The sum of all reservations, and its limit in bytes."""
@@ -121,8 +128,9 @@
         for reservation in sorted(candidates, key=cost, reverse=True):
             if self.used_bytes <= self._ceiling(grown) * LOW_WATER_SHARE:
                 break
-            self.evictions += 1
-            reservation.holder.evict()
+            if reservation.holder is not None:
+                self.evictions += 1
+                reservation.holder.evict()
 
 
 def unlimited() -> MemoryBudget:
--- a/otterreach/sidecar/transport.py
+++ b/otterreach/sidecar/transport.py
@@ -19,6 +19,7 @@
 # Of a listener, inherited by its connections. The kernel's own choice grows to megabytes for a connection that is not
 # read, and unread bytes count as memory of the process.
 RECEIVE_BUFFER_BYTES = 64 * 1024
+RECEIVE_BUFFER_FACTOR = 2  # the kernel doubles the size that it is asked for
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: enabled, with a time-out of 0
 WRITE_BYTES = 256 * 1024  # part of a long body that is given to a transport at once: what it can't send, it copies
 P = TypeVar("P", bound=asyncio.Protocol)
@@ -155,10 +156,10 @@
         return sum(flags for _, flags in self._poll.poll(0))
 
 
-def bound_receive_buffers(listener: socket.socket) -> None:
+def bound_receive_buffers(listener: socket.socket, size: int = RECEIVE_BUFFER_BYTES) -> None:
     """Bound the unread bytes that the kernel keeps for each connection accepted by a listener."""
     with suppress(OSError):  # a platform that refuses keeps its own limit
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
 async def open_tcp(address: tuple[str, int], factory: Callable[[], P]) -> P:
