Sidecar: a budget for what clients make it hold

Callers saw: 400 clients with bodies of 64 KiB made a sidecar of 48 MB hold 49 to 50 MiB, in chunks of two bytes 585, pipelined 205. Cause: connections and single requests were bounded, the sum of the bytes was not. Change: the budget of the proxies, with a fifth of `memory_mb`; bodies are read ahead up to 16 KiB, and the kernel's receive buffer of a client is small. A request that doesn't fit is answered 503 with Retry-After: it has not run.

--- a/otterreach/sidecar/__main__.py
+++ b/otterreach/sidecar/__main__.py
@@ -13,6 +13,7 @@
 from otterreach.sidecar.config import Address, Config, ConfigError, load, read_discovery_address
 from otterreach.sidecar.discovery import INITIAL_BACKOFF_S, Watch
 from otterreach.sidecar.endpoints import Endpoints
+from otterreach.sidecar.memory_budget import MemoryBudget
 from otterreach.sidecar.server import Server
 from otterreach.sidecar.sidecar import Sidecar
 
@@ -31,6 +32,10 @@
 # Part of the remaining descriptors for clients. Many client connections are idle; each busy one also needs a connection
 # to an endpoint.
 CLIENT_SHARE = 0.6
+CLIENT_MEMORY_SHARE = (
+    0.2  # of the memory, for requests of clients; the smallest limit is hardly above the program's size
+)
+BYTES_PER_MB = 1024 * 1024
 
 
 class Signals:
@@ -76,7 +81,8 @@
     )
     tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
     tasks.append(loop.create_task(_reload(config.path, watch, signals.reload)))
-    server = Server(sidecar, config.names, settings, max_clients)
+    budget = MemoryBudget(int(config.memory_mb * BYTES_PER_MB * CLIENT_MEMORY_SHARE))
+    server = Server(sidecar, config.names, settings, max_clients, budget)
     tasks.append(loop.create_task(server.sweep()))
     try:
         on_listening(server.listen(config.listen))
--- a/otterreach/sidecar/config.py
+++ b/otterreach/sidecar/config.py
@@ -13,6 +13,7 @@
 from otterreach.balancer import Settings, SettingsError
 from otterreach.balancer.interface import EndpointState, Listed
 
+DEFAULT_MEMORY_MB = 192
 ENDPOINT_STATES = {"up": EndpointState.READY, "draining": EndpointState.DRAINING, "removed": EndpointState.GONE}
 
 
@@ -102,6 +103,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: int
     keepalive_ns: int
     settings: Settings
     names: Names
@@ -129,6 +131,7 @@
         discovery=_address(env, "LB_DISCOVERY"),
         seed=_seed(raw.get("seed")),
         sockets=_number(raw, "limits", "sockets", 1024),
+        memory_mb=_number(raw, "limits", "memory_mb", DEFAULT_MEMORY_MB),
         keepalive_ns=_number(raw["settings"], "allowed", "keepalive-ns", 15_000_000_000),
         settings=settings,
         names=names,
--- a/otterreach/sidecar/server.py
+++ b/otterreach/sidecar/server.py
@@ -17,11 +17,15 @@
 from otterreach.balancer.interface import Effect
 from otterreach.sidecar import http1
 from otterreach.sidecar.config import Address, Names
+from otterreach.sidecar.memory_budget import MemoryBudget
 from otterreach.sidecar.sidecar import Answer, Call, Sidecar
-from otterreach.sidecar.transport import AcceptedConnection
+from otterreach.sidecar.transport import RECEIVE_BUFFER_FACTOR, AcceptedConnection, bound_receive_buffers
 
 BACKLOG = 512
 MAX_PIPELINED = 8  # requests read ahead per connection
+MAX_READ_AHEAD_BYTES = 16 * 1024  # bodies read ahead per connection
+RECEIVE_BUFFER_BYTES = 16 * 1024  # of the kernel, for each connection
+OVERLOAD_RETRY_AFTER_S = 0.5  # for a request that doesn't fit into the memory
 PARTIAL_REQUEST_GRACE_S = 1.0  # at shutdown: time for the rest of a request after the listener has closed
 STOP_POLL_S = 0.01  # at shutdown: interval of checks for open connections
 FLUSH_S = 0.05  # at shutdown: time to send the last answers
@@ -117,6 +121,10 @@
         self._server = server
         self._parser = http1.RequestParser()
         self._queue: deque[tuple[http1.Request, int]] = deque()  # request, arrival time
+        self._queued_bytes = 0  # bodies of the requests in the queue
+        self._open_bytes = 0  # body of the open request
+        self._paused = False  # reading is paused because of the queue
+        self._reservation = server.budget.reserve(self)
         self._busy = False
         self._closing = False
         self._keep_alive = True
@@ -147,16 +155,52 @@
             return
         now = time.monotonic_ns()
         no_partial = not self._parser.has_partial_request
-        self._queue.extend((request, now) for request in self._parser.feed(data))
+        for request in self._parser.feed(data):
+            self._queue.append((request, now))
+            self._queued_bytes += len(request.body)
         if no_partial and not self._busy:
             self.idle_since = now / 1e9
         if self._parser.expects_continue and self._transport and not self._busy:
             self._parser.expects_continue = False
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        if len(self._queue) > MAX_PIPELINED and self._transport:
+        self._process_queue()
+        if self._reads_too_far_ahead and self._transport and not self._closing:
+            self._paused = True
             self._transport.pause_reading()
+        if not self._update_reservation():
+            self._refuse_newest()
+
+    @property
+    def _reads_too_far_ahead(self) -> bool:
+        """True if further requests have to wait in the kernel."""
+        return len(self._queue) > MAX_PIPELINED or self._queued_bytes > MAX_READ_AHEAD_BYTES
+
+    def _update_reservation(self) -> bool:
+        """Account what is held for this client; return False if it doesn't fit."""
+        if self._transport is None or self._transport.is_closing():
+            self._reservation.release()
+            return True
+        unread = RECEIVE_BUFFER_BYTES * RECEIVE_BUFFER_FACTOR if self._paused else 0
+        other = self._queued_bytes + self._open_bytes + self._transport.get_write_buffer_size() + unread
+        return self._reservation.update(self._parser.buffered_bytes, other)
+
+    def evict(self) -> None:
+        """Refuse the request being received, after the answers to earlier ones, and close the connection."""
+        self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
+        self._update_reservation()
         self._process_queue()
 
+    def _refuse_newest(self) -> None:
+        """Refuse the newest request that is not open yet, and all that follow it."""
+        if not self._parser.has_partial_request and self._queue:
+            request, _ = self._queue.pop()
+            self._queued_bytes -= len(request.body)
+        self.evict()
+
+    def _clear_queue(self) -> None:
+        self._queue.clear()
+        self._queued_bytes = 0
+
     def _discard_input(self) -> None:
         """Discard received data, with a pause: a client sending at full speed after its error would use all CPU."""
         if self._transport and not self._transport.is_closing():
@@ -172,7 +216,8 @@
         self._closing = True
         self._server.remove(self)
         self._parser.close()
-        self._queue.clear()
+        self._clear_queue()
+        self._reservation.close()
         self._release_trace_id()
         if self._busy and self._current:
             self._server.sidecar.client_gone(self._current)
@@ -182,10 +227,15 @@
         while not self._busy and not self._closing:
             if not self._queue:
                 if self._parser.error:
-                    self._reject(Answer(self._parser.error))
+                    overloaded = self._parser.error == HTTPStatus.SERVICE_UNAVAILABLE
+                    retry_after_s = OVERLOAD_RETRY_AFTER_S if overloaded else 0.0
+                    self._reject(Answer(self._parser.error, retry_after_s=retry_after_s))
                 return
             request, arrived_ns = self._queue.popleft()
-            if self._transport and len(self._queue) <= MAX_PIPELINED:
+            self._queued_bytes -= len(request.body)
+            self._open_bytes = len(request.body)
+            if self._transport and self._paused and not self._reads_too_far_ahead:
+                self._paused = False
                 self._transport.resume_reading()
             self._busy = True
             self._current = 0
@@ -233,12 +283,14 @@
 
     def _answer_and_continue(self, answer: Answer) -> None:
         self._answer(answer)
+        self._update_reservation()
         if self._current:  # else _process_queue is still running and called this
             self._current = 0
             self._process_queue()
 
     def _answer(self, answer: Answer) -> None:
         self._busy = False
+        self._open_bytes = 0
         self._release_trace_id()
         if self._closing or not self._transport:
             return
@@ -258,11 +310,14 @@
         """
         self._busy = False
         self._closing = True
-        self._queue.clear()
+        self._open_bytes = 0
+        self._clear_queue()
+        self._parser.refuse(int(answer.status))
         self._server.mark_idle(self)
         if self._transport:
             self._transport.write(http1.encode_response(*answer, True))
             self._transport.write_eof()
+        self._update_reservation()
 
     def check_client(self) -> None:
         """Check for a close by the client, which the event loop doesn't report while reading is paused."""
@@ -331,8 +386,12 @@
     It accepts connections itself, not through asyncio, so that none in the backlog is reset at shutdown.
     """
 
-    def __init__(self, sidecar: Sidecar, names: Names, settings: Settings, max_connections: int) -> None:
+    def __init__(
+        self, sidecar: Sidecar, names: Names, settings: Settings, max_connections: int, budget: MemoryBudget
+    ) -> None:
+        """:param budget: of the memory for clients' requests"""
         self.sidecar = sidecar
+        self.budget = budget
         self.names = names
         self.settings = settings
         self.stopping = False
@@ -391,6 +450,7 @@
         """Listen at an address, with a free port for port 0, and return the address in use."""
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound_receive_buffers(listener, RECEIVE_BUFFER_BYTES)
         listener.setblocking(False)
         listener.bind(address)
         listener.listen(BACKLOG)
