Job store: entries that every replica has are dropped when they are committed

Callers saw: batch jobs that were long committed were held twice, as items and as the entry of the log, up to 8 MB in each partition until its next entry. Cause: recent entries were trimmed only when another one was appended. Change: they are trimmed at the commit that makes them dispensable.

--- a/otterreach/jobstore/leadership.py
+++ b/otterreach/jobstore/leadership.py
@@ -210,7 +210,7 @@
                 self.listener.committed(self.replica, change)
             self._release_waiters(index)
             needed_from = [stream.needed_from for stream in self.streams.values()]
-            self.replica.retained_from = min(needed_from, default=index)
+            self.replica.retain_from(min(needed_from, default=index))
         is_caught_up = self.committed_index >= self.first_index and self.has_enough_backups
         if is_caught_up and self.replica.state is ReplicaState.SYNCING:
             self.replica.transition_to(ReplicaState.SERVING, "all members are in sync")
--- a/otterreach/jobstore/partition_replica.py
+++ b/otterreach/jobstore/partition_replica.py
@@ -215,7 +215,12 @@
         if not self.is_primary:
             self._commit_all()
             self.retained_from = self.index
-        self._recent.trim(self.retained_from)
+        self.retain_from(self.retained_from)
+
+    def retain_from(self, index: int) -> None:
+        """Drop recent entries that no other replica needs; those from `index` on are still needed."""
+        self.retained_from = index
+        self._recent.trim(index)
 
     def commit(self, index: int) -> list[JobChange]:
         """Make the entries before this index visible to readers: all replicas have them. Return their changes."""
