RPC: long messages that pass on what callers sent wait for room at the receiver

Callers saw: batch jobs submitted at once by several proxies, and changes of the configuration forwarded by several controllers, were all read whole at the same time, each with some five copies of its body. Cause: a frame was bounded, the sum of frames was not, and nor was what their handling takes; encoding and sending a message made three copies that nobody needed. Change: `FrameAdmission`, set for SubmitJob and ApiCall: a link stops reading at the header of a long message until there is room, in order; a single message always fits; a link that holds room and stalls is closed if others wait. Submissions that would take too much memory decoded are refused before that, so they have not run. A long message is encoded and written without copies of its bytes.

--- a/otterreach/controller/__main__.py
+++ b/otterreach/controller/__main__.py
@@ -6,7 +6,9 @@
 from typing import TYPE_CHECKING
 
 import otterreach.runtime.ignore_hangup
+from otterreach.controller.messages import ApiCall
 from otterreach.controller.node import ControllerNode
+from otterreach.runtime.caller_limits import frame_admission
 from otterreach.runtime.journal import Journal, open_journal
 from otterreach.runtime.metrics_listener import MetricsListener
 from otterreach.runtime.node import Node, on_signals, run_role
@@ -17,6 +19,7 @@
     from otterreach.runtime.figures import MetricSource
 
 JOURNAL = "control.journal"
+CALL_COPIES = 4  # of a call that another controller forwards: message, body, text and values
 
 
 def metric_sources(node: Node, journal: Journal, controller: ControllerNode) -> tuple[MetricSource, ...]:
@@ -30,7 +33,9 @@
 async def serve(settings: Settings) -> None:
     """Run a controller until SIGTERM."""
     assert settings.datadir is not None
-    node = Node(settings, Endpoint())
+    endpoint = Endpoint()
+    endpoint.limit_memory(ApiCall, frame_admission(settings, CALL_COPIES))
+    node = Node(settings, endpoint)
     journal, records = open_journal(settings.datadir / JOURNAL)
     on_signals(node.stopping.set, node.reload)
     controller = ControllerNode(settings, node, journal)
--- a/otterreach/jobstore/__main__.py
+++ b/otterreach/jobstore/__main__.py
@@ -11,7 +11,9 @@
 import otterreach.runtime.ignore_hangup
 from otterreach.jobstore.disk_probe import wait_until_writable
 from otterreach.jobstore.graceful_shutdown import transfer_replicas
+from otterreach.jobstore.messages import SubmitJob
 from otterreach.jobstore.node import JobStoreNode
+from otterreach.runtime.caller_limits import frame_admission
 from otterreach.runtime.codes import Code
 from otterreach.runtime.journal import Journal, open_journal
 from otterreach.runtime.log import log
@@ -25,6 +27,7 @@
     from otterreach.runtime.figures import MetricSource
 
 JOURNAL = "jobs.journal"
+SUBMISSION_COPIES = 5  # message, text, items, entry of the log, record of the journal
 STOP_TIMEOUT_S = 0.8  # for writes in flight to reach the disk
 
 
@@ -51,6 +54,7 @@
     await wait_until_writable(settings.datadir)
     journal, records = open_journal(settings.datadir / JOURNAL)
     endpoint = Endpoint()
+    endpoint.limit_memory(SubmitJob, frame_admission(settings, SUBMISSION_COPIES))
     node = Node(settings, endpoint, random)
     store_node = JobStoreNode(node, journal, random, records)
     del records
--- a/otterreach/jobstore/job_requests.py
+++ b/otterreach/jobstore/job_requests.py
@@ -13,12 +13,14 @@
 from otterreach.jobstore.placement import partition_of
 from otterreach.jobstore.replication import Replication
 from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.json_size import decoded_size
 from otterreach.runtime.rpc import Done, Link
 
 WRITE_TIMEOUT_S = 2.5  # a write that is not committed by then is answered as possibly done
 MAX_WAIT_S = 5.0  # limit of the time that a read waits for new results
 DISK_SHARE = 0.4  # of the disk, for the journal; its rewrite needs the same space again
 MEMORY_SHARE = 0.35  # of the memory, for batch jobs
+DECODED_SHARE = 0.3  # of the memory, for the decoded JSON of one submission
 BYTES_PER_MB = 1e6
 
 
@@ -49,6 +51,8 @@
             return await self.done_when_committed(leader.replica, known.index)
         if self.stopping or self._is_full():
             return Failure(Code.NOT_SYNCED, "stopping" if self.stopping else "full")
+        if decoded_size(request.body) > DECODED_SHARE * self.node.settings.ram_mb * BYTES_PER_MB:
+            return Failure(Code.NOT_SYNCED, "too many values")
         job = read_job(request.job, request.host, request.route, request.body, self.loop.time())
         if isinstance(job, Failure):
             return job
--- a/otterreach/runtime/caller_limits.py
+++ b/otterreach/runtime/caller_limits.py
@@ -1,13 +1,15 @@
-"""Limits on what the callers of a process make it hold, from the settings of the process."""
+"""Limits on what callers make a process hold, directly or by messages of its peers, from the process's settings."""
 
 from __future__ import annotations
 
+from otterreach.runtime.frame_admission import FrameAdmission
 from otterreach.runtime.settings import Settings
 from otterreach.sidecar.memory_budget import MemoryBudget
 
 MEMORY_SHARE = 0.35  # of `ramMb`; the rest is for the program, its state, and copies of a body that is passed on
 SINGLE_MEMORY_SHARE = 0.6  # of `ramMb`, for a single request with all its copies while hardly any other is there
 DESCRIPTOR_SHARE = 0.5  # of the descriptors that are free, for callers; the rest is for servers, peers and files
+MESSAGE_MEMORY_SHARE = 0.3  # of `ramMb`, for long messages of peers that pass on what callers sent
 RESERVED_DESCRIPTORS = 200
 MIN_CONNECTIONS = 16
 BYTES_PER_MB = 1024 * 1024
@@ -22,3 +24,11 @@
 def max_connections(settings: Settings) -> int:
     """Return the number of connections that one listener keeps open."""
     return max(MIN_CONNECTIONS, int((settings.nofile - RESERVED_DESCRIPTORS) * DESCRIPTOR_SHARE))
+
+
+def frame_admission(settings: Settings, copies: int) -> FrameAdmission:
+    """Return the limit for long messages that pass on what callers sent.
+
+    :param copies: how many times the length of a message its handling takes
+    """
+    return FrameAdmission(int(settings.ram_mb * BYTES_PER_MB * MESSAGE_MEMORY_SHARE), copies)
--- a/otterreach/runtime/codec.py
+++ b/otterreach/runtime/codec.py
@@ -148,7 +148,7 @@
     """Encode a message as a flatbuffer, which does not contain its number."""
     builder = Builder(_size(value))
     builder.Finish(_build(builder, value))
-    return bytes(builder.Output())
+    return bytes(memoryview(builder.Bytes)[builder.Head() :])  # Output() would make a copy to be copied again
 
 
 def _read(cls: type, buffer: bytes, position: int) -> Any:
--- a/otterreach/runtime/rpc.py
+++ b/otterreach/runtime/rpc.py
@@ -16,6 +16,7 @@
 
 from otterreach.runtime.codec import NUMBERS, REPLIES, MessageError, ReplyT, Request, decode, encode, message
 from otterreach.runtime.codes import Code, Failure
+from otterreach.runtime.frame_admission import SMALL_FRAME_BYTES, FrameAdmission
 from otterreach.runtime.log import log
 
 HEADER = struct.Struct("<IIHB")  # length of the body, call number, message number, flags
@@ -70,6 +71,9 @@
         self._calls: dict[int, asyncio.Future[Any]] = {}  # calls in flight by call number
         self._calls_in_progress = 0  # calls of the peer that are being handled here
         self._last_call_number = 0
+        self._admission: FrameAdmission | None = None  # of the message being received
+        self._is_waiting = False  # for admission of that message
+        self.last_received_at = 0.0
 
     # asyncio.Protocol ----------------------------------------------------------------------------
 
@@ -84,6 +88,10 @@
         """Complete all calls in flight with a Failure, and notify the listeners."""
         self.closed = True
         self.endpoint.links.discard(self)
+        self._buffer.clear()
+        if self._admission:
+            self._admission.closed(self)
+            self._admission = None
         for future in self._calls.values():
             if not future.done():
                 future.set_result(Failure(Code.CLOSED, "connection closed"))
@@ -94,8 +102,12 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffer the received bytes and handle each complete frame."""
+        self.last_received_at = asyncio.get_running_loop().time()
+        self._buffer += data
+        self._handle_frames()
+
+    def _handle_frames(self) -> None:
         buffer = self._buffer
-        buffer += data
         start = 0
         while len(buffer) - start >= HEADER.size:
             length, call_number, message_number, flags = HEADER.unpack_from(buffer, start)
@@ -103,14 +115,49 @@
                 self.abort()
                 return
             end = start + HEADER.size + length
-            if len(buffer) < end:
+            if not self._is_admitted(message_number, length) or len(buffer) < end:
                 break
-            body = bytes(buffer[start + HEADER.size : end])
+            body = bytes(memoryview(buffer)[start + HEADER.size : end])
             start = end
             self._handle_frame(call_number, message_number, flags, body)
         if start:
             del buffer[:start]
 
+    # Admission of long messages ------------------------------------------------------------------
+
+    def _is_admitted(self, message_number: int, length: int) -> bool:
+        """Return True if the message may be read; else stop reading until there is room for it."""
+        if self._admission is not None:
+            return not self._is_waiting
+        admission = self.endpoint.admissions.get(message_number)
+        if admission is None or length <= SMALL_FRAME_BYTES:
+            return True
+        self._admission = admission
+        self._is_waiting = not admission.request(self, length)
+        if self._is_waiting and self._transport:
+            self._transport.pause_reading()
+        return not self._is_waiting
+
+    def admitted(self) -> None:
+        """Resume reading: there is room for the message now."""
+        self._is_waiting = False
+        self.last_received_at = asyncio.get_running_loop().time()
+        if self._transport and not self.closed:
+            self._transport.resume_reading()
+            asyncio.get_running_loop().call_soon(self._handle_frames)
+
+    def _leave_admission(self, task: asyncio.Task[None] | None) -> None:
+        """Give the room of a complete message back, at the end of the task that handles it."""
+        admission = self._admission
+        if admission is None:
+            return
+        self._admission = None
+        length = admission.received(self)
+        if task is None:
+            admission.release(length)
+        else:
+            task.add_done_callback(lambda _: admission.release(length))
+
     # Received messages ---------------------------------------------------------------------------
 
     def _handle_frame(self, call_number: int, message_number: int, flags: int, body: bytes) -> None:
@@ -122,12 +169,13 @@
             return
         self.endpoint.received[type(value)] += 1
         if flags & REPLY_FLAG:
+            self._leave_admission(None)
             self._handle_reply(call_number, value)
             return
         handler = self.endpoint.handlers.get(type(value))
-        if handler is not None:
-            self.endpoint.spawn(self._answer(handler, call_number, value))
-        elif call_number != ONE_WAY:
+        task = self.endpoint.spawn(self._answer(handler, call_number, value)) if handler is not None else None
+        self._leave_admission(task)
+        if task is None and call_number != ONE_WAY:
             self._write(call_number, FailureReply(Code.NO_HANDLER, type(value).__name__), REPLY_FLAG)
 
     def _handle_reply(self, call_number: int, value: Any) -> None:
@@ -161,7 +209,12 @@
             return
         body = encode(value)
         self.endpoint.sent[type(value)] += 1
-        self._transport.write(HEADER.pack(len(body), call_number, NUMBERS[type(value)], flags) + body)
+        header = HEADER.pack(len(body), call_number, NUMBERS[type(value)], flags)
+        if len(body) <= SMALL_FRAME_BYTES:
+            self._transport.write(header + body)
+        else:
+            self._transport.write(header)
+            self._transport.write(memoryview(body))  # asyncio copies what it can't send, and slices bytes before that
         if self._transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
             self.abort()
 
@@ -257,6 +310,7 @@
 
     def __init__(self) -> None:
         self.handlers: dict[type, Handler] = {}
+        self.admissions: dict[int, FrameAdmission] = {}  # by message number
         self.links: set[Link] = set()
         self.sent: Counter[type] = Counter()  # messages by type
         self.received: Counter[type] = Counter()
@@ -269,6 +323,10 @@
         """Register the handler of a message type. It returns the reply, a Failure, or None for Done."""
         self.handlers[kind] = handler
 
+    def limit_memory(self, kind: type, admission: FrameAdmission) -> None:
+        """Limit the memory that long messages of a type take."""
+        self.admissions[NUMBERS[kind]] = admission
+
     def spawn(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
         """Run a coroutine in the background and keep a reference to its task until it ends."""
         task = asyncio.ensure_future(work)
