Proxy: long batch jobs go to a job store node one at a time, and their copies count

Callers saw: 48 submissions of 4 MiB made a proxy of 128 MB hold 334 MiB, and 227 by stalling; calls that timed out left copies in connections that were given up. Cause: the copy of a body in the connection to the job store was not counted, and all submissions were written to one connection at once. Change: the copy counts in the budget; bodies over 1 MiB take turns for each job store node. One that gets no turn in half of its time is answered 503: nothing was sent.

--- a/otterreach/proxy/batch_jobs.py
+++ b/otterreach/proxy/batch_jobs.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from http import HTTPStatus
 from urllib.parse import parse_qs, unquote
 
@@ -25,6 +26,10 @@
 CALL_TIMEOUT_S = 0.8
 MAX_WAIT_MS = 5000
 RETRY_AFTER_S = 0.2
+SUBMIT_COPIES = 1  # of the body while it is sent: the buffer of the connection to a job store node
+LONG_BODY_BYTES = 1024 * 1024
+BODY_BYTES_PER_S = 20e6  # the time-out of a call grows with its body
+TURN_SHARE = 0.5  # of the time of a submission, to wait for others with long bodies
 JSON = {b"content-type": b"application/json"}
 
 
@@ -40,6 +45,7 @@
     def __init__(self, directory: JobStoreDirectory) -> None:
         self.directory = directory
         self.loop = directory.loop
+        self._turns: dict[str | None, asyncio.Lock] = {}  # of long submissions, by address of the job store node
 
     async def handle(self, request: http1.Request, client: Client) -> None:
         """Handle GET and DELETE under /lots/ and /items/."""
@@ -54,16 +60,41 @@
     async def submit(self, request: http1.Request, client: Client, route: Route) -> None:
         """Handle a submission on a rollout route up to its answer."""
         job = decode_latin1(request.headers.get(b"request-id"))
+        host = decode_latin1(request.headers.get(b"host"))
         if not job or route.kind != ROLLOUT:
             client.respond(HTTPStatus.BAD_REQUEST)
             return
-        submission = SubmitJob(job, decode_latin1(request.headers.get(b"host")), route.name, request.body)
         client_deadline_ms = parse_number(request.headers.get(b"deadline-ms"))
         timeout_s = min(route.timeout_s, max(SUBMIT_TIMEOUT_S, route.target_s))
         timeout_s = timeout_s if client_deadline_ms is None else min(timeout_s, client_deadline_ms / 1000)
+        submission = SubmitJob(job, host, route.name, request.body)
+        if not client.hold_copies(SUBMIT_COPIES):
+            client.respond_unavailable(RETRY_AFTER_S)
+        elif len(submission.body) <= LONG_BODY_BYTES:
+            await self._submit(client, submission, timeout_s)
+        else:
+            await self._submit_long(client, submission, timeout_s)
+
+    async def _submit_long(self, client: Client, submission: SubmitJob, timeout_s: float) -> None:
+        """Handle a submission with a long body: one at a time for each job store node, which has little memory."""
+        turn = self._turns.setdefault(self.directory.address_of(submission.job), asyncio.Lock())
+        started = self.loop.time()
+        try:
+            async with asyncio.timeout(timeout_s * TURN_SHARE):
+                await turn.acquire()
+        except TimeoutError:
+            client.respond_unavailable(RETRY_AFTER_S)
+            return
+        try:
+            await self._submit(client, submission, timeout_s - (self.loop.time() - started))
+        finally:
+            turn.release()
+
+    async def _submit(self, client: Client, submission: SubmitJob, timeout_s: float) -> None:
         # A retry after an unclear call is safe, because one id stands for one batch job. Answering that the submission
         # was rejected after an unclear call is not: the call may have been executed.
-        reply = await self.directory.call(job, submission, timeout_s, CALL_TIMEOUT_S + len(request.body) / 20e6)
+        call_timeout_s = CALL_TIMEOUT_S + len(submission.body) / BODY_BYTES_PER_S
+        reply = await self.directory.call(submission.job, submission, timeout_s, call_timeout_s)
         if not isinstance(reply, Failure):
             client.respond(HTTPStatus.ACCEPTED)
         elif reply.maybe_done:
