Figures: the listener takes 16 KiB bodies and 32 connections

Cause: it took bodies of 36 MiB without a limit on their sum, though a request for figures has none. Found by reading; no test of its own beyond those of JsonServer.

--- a/otterreach/runtime/metrics.py
+++ b/otterreach/runtime/metrics.py
@@ -17,6 +17,8 @@
 METRICS_PATH = b"/metrics"
 CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX = "otterreach_"
+MAX_CONNECTIONS = 32
+MAX_BODY = 16 * 1024  # a request for metrics has none
 
 
 class Collector:
@@ -67,4 +69,4 @@
         """Answer one request."""
         return answer(source_list, request)
 
-    return JsonServer(handle)
+    return JsonServer(handle, max_connections=MAX_CONNECTIONS, max_body=MAX_BODY)
