--- a/otterreach/controller/figures.py
+++ b/otterreach/controller/figures.py
@@ -9,7 +9,7 @@
 from otterreach.controller.node import ControllerNode
 from otterreach.runtime.figures import MetricSample, MetricType
 from otterreach.runtime.histogram import Histogram
-from otterreach.runtime.node_figures import repeated_work_metrics
+from otterreach.runtime.node_figures import budget_metrics, repeated_work_metrics
 from otterreach.runtime.records import MemberRecord
 
 
@@ -38,4 +38,5 @@
     for kind, count in sorted(controller.api.answers.items()):
         labels = {"resource": kind.resource, "status": str(kind.status)}
         yield MetricSample("api_answers_total", "Answers to callers of the API.", count, labels, MetricType.COUNTER)
+    yield from budget_metrics(controller.server.budget)
     yield from repeated_work_metrics(controller.control.election.attempts)
--- a/otterreach/proxy/figures.py
+++ b/otterreach/proxy/figures.py
@@ -9,7 +9,7 @@
 from otterreach.proxy.node import Proxy
 from otterreach.runtime.figures import MetricSample, MetricType
 from otterreach.runtime.histogram import Histogram
-from otterreach.runtime.node_figures import repeated_work_metrics
+from otterreach.runtime.node_figures import budget_metrics, repeated_work_metrics
 
 COUNTER = MetricType.COUNTER
 
@@ -25,6 +25,7 @@
     for status, count in sorted(ingress.answers.items()):
         yield MetricSample("answers_total", "Answers to clients.", count, {"status": str(status)}, COUNTER)
     yield ingress.answer_times
+    yield from budget_metrics(ingress.budget)
     yield from _server_metrics(proxy)
     yield from _item_metrics(proxy)
     yield from repeated_work_metrics(proxy.orders.repeated)
--- a/otterreach/runtime/node_figures.py
+++ b/otterreach/runtime/node_figures.py
@@ -10,6 +10,7 @@
 from otterreach.runtime.journal import Journal
 from otterreach.runtime.node import Node
 from otterreach.runtime.repeated_work import RepeatedWork
+from otterreach.sidecar.memory_budget import MemoryBudget
 
 COUNTER = MetricType.COUNTER
 
@@ -33,6 +34,15 @@
     yield from repeated_work_metrics(follower.attachments)
 
 
+def budget_metrics(budget: MemoryBudget) -> Iterable[MetricSample]:
+    """Return the metrics of what callers make a process hold."""
+    yield MetricSample("caller_bytes", "Bytes that the process holds for its callers.", budget.used_bytes)
+    yield MetricSample("caller_bytes_limit", "The limit of these bytes.", budget.limit_bytes)
+    yield MetricSample(
+        "evicted_requests_total", "Incomplete requests refused at that limit.", budget.evictions, kind=COUNTER
+    )
+
+
 def repeated_work_metrics(*works: RepeatedWork) -> Iterable[MetricSample]:
     """Return the metrics of steps that were repeated without progress."""
     for work in works:
