Soak: crowds of clients that send large bodies without their end, as an option

Change: with `--crowds N` a soak sends crowds of N clients to random listeners of controllers and proxies while processes are disrupted. A process whose peak memory is over its settings breaks a rule (MEMORY), in every soak. Draws of earlier seeds stay.

--- a/otterreach/soak/__main__.py
+++ b/otterreach/soak/__main__.py
@@ -69,6 +69,8 @@
     "Number of proxies."
     callers: int = 1
     "Factor on the default number of callers."
+    crowds: int = 0
+    "Clients of each crowd that sends large bodies without their end; 0 for no crowds."
     out: Path | None = None
     "Folder for the results; logs and disks are kept for soaks that broke a rule or had late answers."
     quiet: bool = False
@@ -77,7 +79,12 @@
     def setup(self, seed: int) -> SoakSetup:
         """Return the setup for a seed, with the options applied."""
         setup = SoakSetup.draw(
-            seed, self.seconds, jobstores=self.jobstores, proxies=self.proxies, callers_scale=self.callers
+            seed,
+            self.seconds,
+            jobstores=self.jobstores,
+            proxies=self.proxies,
+            callers_scale=self.callers,
+            crowd_clients=self.crowds,
         )
         if not self.controllers:
             return setup
--- a/otterreach/soak/fleet.py
+++ b/otterreach/soak/fleet.py
@@ -31,6 +31,7 @@
         self.frozen: dict[str, int] = {}  # by machine: number of overlapping freezes
         # Machines whose process is being ended or started; only one task at a time may do so.
         self.restarting: set[str] = set()
+        self.open_crowds = 0  # crowds of clients that don't behave, during which answers may be late
         self.disk_losses = DiskLosses(setup.survive, float(SOAK_BOUNDS["syncS"]))
         self.unexpected_exits: list[str] = []
         self._started_at: dict[str, float] = {}
@@ -47,10 +48,10 @@
 
     @property
     def is_calm(self) -> bool:
-        """True if every process runs and its start-up time has passed."""
+        """True if every process runs, its start-up time has passed, and no crowd is there."""
         now = asyncio.get_running_loop().time()
         all_started = all(now - at >= STARTUP_S for at in self._started_at.values())
-        return all_started and not self.down and not self.frozen
+        return all_started and not self.down and not self.frozen and not self.open_crowds
 
     def may_disrupt(self, machine: Machine) -> bool:
         """Return True if at most `survive` controllers would be disrupted at once, this machine included.
--- a/otterreach/soak/run.py
+++ b/otterreach/soak/run.py
@@ -10,6 +10,7 @@
 from otterreach.simulation.coordination_check import Bounds, find_violations
 from otterreach.simulation.coordination_liveness import FaultFreeSpan
 from otterreach.soak.callers import SoakPopulation, population_setup, wait_until_served
+from otterreach.soak.crowds import Crowds
 from otterreach.soak.disruptions import Disruptor, lose_power
 from otterreach.soak.fleet import Fleet
 from otterreach.soak.host import HostMonitor
@@ -22,6 +23,7 @@
 CONTACT_S = float(SOAK_BOUNDS["contactMs"]) / 1000
 CALM_POLL_S = 0.1
 FORMATION_S = 8.0  # all controllers have to be members before the first disruption
+CROWDS_SEED = 0xC404D  # keeps the draws of crowds apart from those of disruptions
 LAST_CALLS_TIMEOUT_S = 15.0  # callers that take longer for their last call are cancelled
 
 
@@ -47,6 +49,7 @@
             lambda: self.stopping,
         )
         self.stopping = False
+        self.crowds = Crowds(self.fleet, setup.crowd_clients, Random(setup.seed ^ CROWDS_SEED))
         self.host = HostMonitor(folder / "host")
         self.fault_free: list[FaultFreeSpan] = []
         self.result = SoakResult(setup, processes=len(self.fleet.system.machines))
@@ -89,9 +92,12 @@
         self._spawn(self.fleet.supervise())
         self._spawn(self.host.run())
         self._spawn(self._record_fault_free_spans())
+        crowds = self._spawn(self.crowds.run()) if self.setup.crowd_clients else None
         self.callers = [self._spawn(coroutine) for coroutine in self.population.caller_coroutines()]
         await asyncio.sleep(FORMATION_S)
         await self.disruptor.run(self.setup.seconds)
+        if crowds is not None:
+            crowds.cancel()
         if self.setup.final_power_loss:
             lost = self.fleet.disk_losses.allowed
             self.print_line(f"power loss of all controllers, {lost} of them lose their disks")
@@ -141,9 +147,19 @@
                 f"LOST: configuration {current} is in force though {self.operator.acknowledged} was acknowledged"
             )
 
+    def _memory_violations(self) -> list[str]:
+        """Return the machines whose processes held more memory than their settings allow."""
+        limit_mb = self.fleet.plan.machines.ram_mb
+        return [
+            f"MEMORY: {machine.name} held {machine.used.peak_mb:.0f} MB of {limit_mb}"
+            for machine in self.fleet.system.machines
+            if machine.used.peak_mb > limit_mb
+        ]
+
     def _summarize(self) -> None:
         result = self.result
         result.violations += self.fleet.unexpected_exits
+        result.violations += self._memory_violations()
         result.disruptions = self.disruptor.disruptions
         result.host_stalls = self.host.stalls
         result.count_calls(self.population.history)
--- a/otterreach/soak/setup.py
+++ b/otterreach/soak/setup.py
@@ -32,10 +32,18 @@
     may_lose_majority: bool
     final_power_loss: bool
     callers_scale: int = 1
+    crowd_clients: int = 0  # clients of each crowd that does not behave; 0 for no crowds
 
     @classmethod
     def draw(
-        cls, seed: int, seconds: float, *, jobstores: int = 0, proxies: int = 0, callers_scale: int = 1
+        cls,
+        seed: int,
+        seconds: float,
+        *,
+        jobstores: int = 0,
+        proxies: int = 0,
+        callers_scale: int = 1,
+        crowd_clients: int = 0,
     ) -> SoakSetup:
         """Return a setup drawn from the seed, with the given numbers of job store nodes and proxies."""
         random = Random(seed ^ 0x50AC)
@@ -51,6 +59,7 @@
             may_lose_majority=random.random() < MAJORITY_LOSS_SHARE,
             final_power_loss=random.random() < FINAL_POWER_LOSS_SHARE,
             callers_scale=callers_scale,
+            crowd_clients=crowd_clients,
         )
 
     def plan(self) -> Plan:
