--- a/otterreach/jobstore/job_requests.py
+++ b/otterreach/jobstore/job_requests.py
@@ -20,7 +20,7 @@
 MAX_WAIT_S = 5.0  # limit of the time that a read waits for new results
 DISK_SHARE = 0.4  # of the disk, for the journal; its rewrite needs the same space again
 MEMORY_SHARE = 0.35  # of the memory, for batch jobs
-DECODED_SHARE = 0.3  # of the memory, for the decoded JSON of one submission
+DECODED_SHARE = 0.4  # of the memory, for the decoded JSON of one submission
 BYTES_PER_MB = 1e6
 
 
