Tests: a server of test_endpoints closes its connection

Seen: once, beside other load, test_requests_are_the_same_however_they_are_cut failed by a warning of `StreamWriter.__del__`: "Event loop is closed". Cause: test_the_rest_of_a_given_up_request_does_not_leave left the server's side of its connection open; the garbage collector found it during a later test of the same worker, after the loop of its own. With a collection after each test it failed every time, as the only test of tests/sidecar and tests/proxy. Change: it aborts the connection. With the same collections all pass.

--- a/tests/sidecar/test_endpoints.py
+++ b/tests/sidecar/test_endpoints.py
@@ -349,6 +349,7 @@
         with suppress(OSError):
             while data := await reader.read(1 << 20):
                 got += len(data)
+        writer.transport.abort()  # left to the garbage collector, it would fail a later test
         ended.set()
 
     server = await asyncio.start_server(connected, "127.0.0.1", 0, limit=16)
