--- a/otterreach/proxy/batch_jobs.py
+++ b/otterreach/proxy/batch_jobs.py
@@ -11,8 +11,8 @@
 from urllib.parse import parse_qs, unquote
 
 from otterreach.jobstore.messages import EndJob, ItemBody, JobResults, ReadItem, ReadJob, SubmitJob
+from otterreach.proxy.client_connection import Client
 from otterreach.proxy.directory import JobStoreDirectory
-from otterreach.proxy.ingress import Client
 from otterreach.proxy.requests import decode_latin1, parse_number, path_of
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.configuration import ROLLOUT, Route
--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -8,8 +8,9 @@
 from random import Random
 
 from otterreach.proxy.batch_jobs import BatchJobs, is_batch_job_call
+from otterreach.proxy.client_connection import Client
 from otterreach.proxy.fleet import Fleet
-from otterreach.proxy.ingress import Client, Ingress
+from otterreach.proxy.ingress import Ingress
 from otterreach.proxy.orders import WeightOrders
 from otterreach.proxy.pools import Opener
 from otterreach.proxy.requests import Requests, decode_latin1, parse_number, path_of
--- a/otterreach/proxy/requests.py
+++ b/otterreach/proxy/requests.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 from http import HTTPStatus
 
+from otterreach.proxy.client_connection import Client
 from otterreach.proxy.exchange import (
     HOP_BY_HOP_HEADERS,
     PROXY_HEADERS,
@@ -21,7 +22,6 @@
     end_to_end_headers,
 )
 from otterreach.proxy.fleet import Fleet, Server
-from otterreach.proxy.ingress import Client
 from otterreach.runtime.configuration import Route
 from otterreach.sidecar import http1
 
--- a/otterreach/proxy/streams.py
+++ b/otterreach/proxy/streams.py
@@ -4,10 +4,10 @@
 
 from http import HTTPStatus
 
+from otterreach.proxy.client_connection import Client
 from otterreach.proxy.events import EventReader
 from otterreach.proxy.exchange import Exchange, Execution, Headers, Outcome
 from otterreach.proxy.fleet import Server
-from otterreach.proxy.ingress import Client
 from otterreach.proxy.requests import ClientRequest, Requests, parse_number, response_headers
 from otterreach.runtime.configuration import Route
 from otterreach.sidecar import http1
--- a/tests/proxy/proxy_support.py
+++ b/tests/proxy/proxy_support.py
@@ -10,8 +10,9 @@
 
 from otterreach.jobstore.messages import AssignItems, ItemFinished, ProxyPing, ProxyPong, ServedPartition, WorkItem
 from otterreach.jobstore.placement import partition_of
+from otterreach.proxy.client_connection import Client
 from otterreach.proxy.fleet import Fleet
-from otterreach.proxy.ingress import Client, Ingress
+from otterreach.proxy.ingress import Ingress
 from otterreach.proxy.pools import Address, Connection, Factory
 from otterreach.runtime import settings as settings_module
 from otterreach.runtime.codes import Code, Failure
--- a/tests/proxy/test_parts.py
+++ b/tests/proxy/test_parts.py
@@ -10,10 +10,11 @@
 
 from otterreach.jobstore.messages import EndJob, ItemBody, JobResults, ReadItem, ReadJob, SubmitJob
 from otterreach.proxy.batch_jobs import BatchJobs, is_batch_job_call
+from otterreach.proxy.client_connection import Client
 from otterreach.proxy.directory import JobStoreDirectory, NoItems
 from otterreach.proxy.draw import HALF_LIFE_S, MAX_SAMPLE, Draw, Estimate
 from otterreach.proxy.events import EventReader, Transcript, versions_of
-from otterreach.proxy.ingress import Client, Ingress
+from otterreach.proxy.ingress import Ingress
 from otterreach.proxy.node import Proxy
 from otterreach.runtime import configuration as config
 from otterreach.runtime.codes import Code, Failure
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -8,8 +8,9 @@
 from contextlib import suppress
 from typing import Any
 
+from otterreach.proxy.client_connection import Client
 from otterreach.proxy.exchange import Exchange, Execution, Outbound, Outcome
-from otterreach.proxy.ingress import Client, Ingress
+from otterreach.proxy.ingress import Ingress
 from otterreach.proxy.pools import Pool
 from otterreach.runtime.configuration import Caps
 from tests.late_reader import LateReader, read_to_the_end
