Listeners accept a few connections at a time, so that their limit holds

Seen: beside other load the test of many connections at a controller counted 531 descriptors of 512 (169 to 202 alone). Cause: asyncio accepts as many connections at a time as the listen queue is long, and a connection that is closed in favour of a new one gives its descriptor back only some iterations of the event loop later. Change: 16 at a time; the kernel's queue keeps its length.

--- a/otterreach/proxy/ingress.py
+++ b/otterreach/proxy/ingress.py
@@ -10,7 +10,7 @@
 from otterreach.runtime.configuration import Caps
 from otterreach.runtime.histogram import Histogram
 from otterreach.sidecar.memory_budget import MemoryBudget, unlimited
-from otterreach.sidecar.transport import bound_receive_buffers
+from otterreach.sidecar.transport import listen_tcp
 
 BACKLOG = 1024
 MAX_CONNECTIONS = 4096  # without settings
@@ -56,12 +56,7 @@
 
         :raises OSError: if the address can't be bound
         """
-        loop = asyncio.get_running_loop()
-        # asyncio accepts up to `backlog` connections before it closes any of them.
-        backlog = min(BACKLOG, self.max_connections)
-        self._server = await loop.create_server(lambda: Client(self), host, port, backlog=backlog, reuse_address=True)
-        for listener in self._server.sockets:
-            bound_receive_buffers(listener)
+        self._server = await listen_tcp(lambda: Client(self), (host, port), BACKLOG)
         return int(self._server.sockets[0].getsockname()[1])
 
     async def sweep(self) -> None:
--- a/otterreach/runtime/http.py
+++ b/otterreach/runtime/http.py
@@ -12,7 +12,7 @@
 from otterreach.sidecar.connection_limit import make_room
 from otterreach.sidecar.memory_budget import MemoryBudget, unlimited
 from otterreach.sidecar.read_ahead import ReadAhead, ReceivedRequest
-from otterreach.sidecar.transport import RECEIVE_BUFFER_BYTES, AcceptedConnection, bound_receive_buffers
+from otterreach.sidecar.transport import RECEIVE_BUFFER_BYTES, AcceptedConnection, listen_tcp
 
 MAX_BODY = 36 * 1024 * 1024
 BACKLOG = 256
@@ -266,11 +266,7 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Accept connections and return the port. Raise OSError if the port can't be bound."""
-        loop = asyncio.get_running_loop()
-        backlog = min(BACKLOG, self.max_connections)
-        self._server = await loop.create_server(self.accept, host, port, backlog=backlog, reuse_address=True)
-        for listener in self._server.sockets:
-            bound_receive_buffers(listener)
+        self._server = await listen_tcp(self.accept, (host, port), BACKLOG)
         return int(self._server.sockets[0].getsockname()[1])
 
     def accept(self) -> asyncio.Protocol:
--- a/otterreach/sidecar/transport.py
+++ b/otterreach/sidecar/transport.py
@@ -20,6 +20,7 @@
 # read, and unread bytes count as memory of the process.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 RECEIVE_BUFFER_FACTOR = 2  # the kernel doubles the size that it is asked for
+ACCEPT_BATCH = 16  # connections that are accepted at a time
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER: enabled, with a time-out of 0
 WRITE_BYTES = 256 * 1024  # part of a long body that is given to a transport at once: what it can't send, it copies
 P = TypeVar("P", bound=asyncio.Protocol)
@@ -162,6 +163,34 @@
         listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
 
 
+def _set_backlog(listener: socket.socket, backlog: int) -> None:
+    """Set the length of the kernel's queue of new connections."""
+    with suppress(OSError):  # a platform that refuses keeps the shorter queue
+        same = socket.socket(socket.AF_INET, socket.SOCK_STREAM, 0, fileno=listener.fileno())
+        try:
+            same.listen(backlog)
+        finally:
+            same.detach()  # the descriptor belongs to the listener
+
+
+async def listen_tcp(
+    factory: Callable[[], asyncio.BaseProtocol], address: tuple[str, int], backlog: int
+) -> asyncio.Server:
+    """Accept connections on an IPv4 address, with bounded receive buffers.
+
+    asyncio accepts as many connections at a time as it is told that the queue is long. Those that are closed in favour
+    of new ones give their descriptors back only later, so that number has to be small, whatever the queue's length.
+
+    :raises OSError: the address can't be bound
+    """
+    loop = asyncio.get_running_loop()
+    server = await loop.create_server(factory, *address, backlog=ACCEPT_BATCH, reuse_address=True)
+    for listener in server.sockets:
+        bound_receive_buffers(listener)
+        _set_backlog(listener, backlog)
+    return server
+
+
 async def open_tcp(address: tuple[str, int], factory: Callable[[], P]) -> P:
     """Open a TCP connection to an address whose host is a numeric IPv4 address.
 
--- a/tests/virtual.py
+++ b/tests/virtual.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import selectors
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -71,6 +72,9 @@
         return _Listener(self, (host, port))
 
 
+NO_SOCKET_FD = os.open(os.devnull, os.O_RDONLY)
+
+
 class _Listener:
     """The server object that create_server returns."""
 
@@ -84,6 +88,10 @@
     def setsockopt(self, *_: int) -> None:
         """Connections in memory have no buffers of a kernel."""
 
+    def fileno(self) -> int:
+        """Return a descriptor that is no socket: connections in memory have no queue of a kernel."""
+        return NO_SOCKET_FD
+
     def close(self) -> None:
         self._memory.listeners.pop(self._address, None)
 
