--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -73,7 +73,7 @@
             self.control, self.api.histories, self.receipts, event_retention_s(settings)
         )
         self.server = JsonServer(
-            self.api.handle, memory_budget(settings), max_connections(settings), working_size=decoded_size
+            self.api.handle, memory_budget(settings, clock), max_connections(settings), working_size=decoded_size
         )
         self._stable_from = 0.0  # from this time on, missing heartbeats are acted on
         self._planned_at = clock()  # time of the last iteration of `_plan`; a long gap between them is a stall
--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -49,7 +49,7 @@
         self.runner = Runner(self.fleet, node.endpoint, node.settings, node.follower.age_s)
         self.batch_jobs = BatchJobs(self.runner.directory)
         self.orders = WeightOrders(node, JsonClient())
-        budget = memory_budget(node.settings)
+        budget = memory_budget(node.settings, self.fleet.loop.time)
         connections = max_connections(node.settings)
         self.ingress = Ingress(self.handle, lambda: self.fleet.config.caps, budget, connections)
         self.probes = JsonServer(self._probe, budget, MAX_PROBE_CONNECTIONS, MAX_PROBE_BODY)
--- a/otterreach/runtime/caller_limits.py
+++ b/otterreach/runtime/caller_limits.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from otterreach.runtime.frame_admission import FrameAdmission
 from otterreach.runtime.settings import Settings
 from otterreach.sidecar.memory_budget import MemoryBudget
@@ -15,10 +17,10 @@
 BYTES_PER_MB = 1024 * 1024
 
 
-def memory_budget(settings: Settings) -> MemoryBudget:
+def memory_budget(settings: Settings, clock: Callable[[], float]) -> MemoryBudget:
     """Return the budget that all listeners of a process share."""
     ram_bytes = settings.ram_mb * BYTES_PER_MB
-    return MemoryBudget(int(ram_bytes * MEMORY_SHARE), int(ram_bytes * SINGLE_MEMORY_SHARE))
+    return MemoryBudget(int(ram_bytes * MEMORY_SHARE), clock, int(ram_bytes * SINGLE_MEMORY_SHARE))
 
 
 def max_connections(settings: Settings) -> int:
--- a/otterreach/sidecar/__main__.py
+++ b/otterreach/sidecar/__main__.py
@@ -81,7 +81,7 @@
     )
     tasks = [loop.create_task(watch.run()), loop.create_task(endpoints.sweep())]
     tasks.append(loop.create_task(_reload(config.path, watch, signals.reload)))
-    budget = MemoryBudget(int(config.memory_mb * BYTES_PER_MB * CLIENT_MEMORY_SHARE))
+    budget = MemoryBudget(int(config.memory_mb * BYTES_PER_MB * CLIENT_MEMORY_SHARE), loop.time)
     server = Server(sidecar, config.names, settings, max_clients, budget)
     tasks.append(loop.create_task(server.sweep()))
     try:
--- a/otterreach/sidecar/memory_budget.py
+++ b/otterreach/sidecar/memory_budget.py
@@ -76,10 +76,11 @@
 class MemoryBudget:
     """The sum of all reservations, and its limit in bytes."""
 
-    def __init__(
-        self, limit_bytes: int, max_single_bytes: int | None = None, clock: Callable[[], float] = time.monotonic
-    ) -> None:
-        """:param max_single_bytes: largest size of one reservation; by default without a limit"""
+    def __init__(self, limit_bytes: int, clock: Callable[[], float], max_single_bytes: int | None = None) -> None:
+        """:param clock: returns a time in seconds that never goes back
+
+        :param max_single_bytes: largest size of one reservation; by default without a limit
+        """
         self.limit_bytes = limit_bytes
         self.max_single_bytes = max_single_bytes or UNLIMITED_BYTES
         self.used_bytes = 0
@@ -135,4 +136,4 @@
 
 def unlimited() -> MemoryBudget:
     """Return a budget without a limit, for listeners whose callers are trusted."""
-    return MemoryBudget(UNLIMITED_BYTES)
+    return MemoryBudget(UNLIMITED_BYTES, time.monotonic)
--- a/tests/runtime/test_http_limits.py
+++ b/tests/runtime/test_http_limits.py
@@ -34,7 +34,7 @@
 
 def test_stalled_bodies_are_refused_in_favour_of_others() -> None:
     async def main() -> None:
-        budget = MemoryBudget(4 * MIB, clock=asyncio.get_running_loop().time)
+        budget = MemoryBudget(4 * MIB, asyncio.get_running_loop().time)
         server = JsonServer(answer, budget)
         await server.listen(HOST, PORT)
         stalled = [await client_of(server) for _ in range(5)]
@@ -55,7 +55,7 @@
 
 def test_what_a_call_held_is_given_back() -> None:
     async def main() -> None:
-        budget = MemoryBudget(4 * MIB)
+        budget = MemoryBudget(4 * MIB, asyncio.get_running_loop().time)
         server = JsonServer(answer, budget, working_size=lambda body: 2 * len(body))
         await server.listen(HOST, PORT)
         raw, transport = await client_of(server)
@@ -76,7 +76,11 @@
 
 def test_a_body_whose_handling_never_fits_is_too_large() -> None:
     async def main() -> None:
-        server = JsonServer(answer, MemoryBudget(4 * MIB, 8 * MIB), working_size=lambda body: 10 * len(body))
+        server = JsonServer(
+            answer,
+            MemoryBudget(4 * MIB, asyncio.get_running_loop().time, 8 * MIB),
+            working_size=lambda body: 10 * len(body),
+        )
         await server.listen(HOST, PORT)
         raw, transport = await client_of(server)
         transport.write(post(b"x" * MIB) + post(b"x"))
--- a/tests/sidecar/test_memory_budget.py
+++ b/tests/sidecar/test_memory_budget.py
@@ -36,7 +36,7 @@
 
 def budget_and_clock(max_single_bytes: int | None = None) -> tuple[MemoryBudget, Clock]:
     clock = Clock()
-    return MemoryBudget(LIMIT, max_single_bytes, clock), clock
+    return MemoryBudget(LIMIT, clock, max_single_bytes), clock
 
 
 def test_what_is_given_back_can_be_used_again() -> None:
