Connections that close after an answer which is not read are aborted

Callers saw: a client that asks for a large answer with `Connection: close` and does not read it keeps its connection and the rest of the answer in the process for ever; any number of them do so, and neither the limit on connections nor the budget counted them. Change: the time-out for unread answers (10 s) holds for them, too, at proxies and for JSON calls; what they hold counts until it is gone.

--- a/otterreach/proxy/client_connection.py
+++ b/otterreach/proxy/client_connection.py
@@ -142,8 +142,7 @@
 
     def _update_reservation(self) -> bool:
         """Account what is held for this client; return False if it doesn't fit."""
-        if self._transport is None or self._transport.is_closing():
-            self._reservation.release()
+        if self._transport is None:
             return True
         running = len(self._request.body) + self._extra_bytes if self._request else 0
         other = self._queue.held_bytes + running + self._transport.get_write_buffer_size()
@@ -319,17 +318,18 @@
 
     def sweep(self, now: float, caps: Caps) -> None:
         """Enforce the time limits of the connection."""
-        if self._transport is None or self._closing:
-            return
-        if (
-            self._queue.is_paused and self.closed_by_peer
-        ):  # while reading is paused, the event loop does not report end of file
-            self.abort()
+        if self._transport is None:
             return
         self._update_reservation()
         if not self._transport.get_write_buffer_size():
             self._unread_since = now
         elif now - self._unread_since > UNREAD_TIMEOUT_S:
+            self.abort()  # a connection that closes once all is sent would otherwise stay for ever
+            return
+        if self._closing:
+            return
+        # While reading is paused, the event loop does not report end of file.
+        if self._queue.is_paused and self.closed_by_peer:
             self.abort()
             return
         if self._task or self._queue:
--- a/otterreach/runtime/http.py
+++ b/otterreach/runtime/http.py
@@ -20,6 +20,7 @@
 MAX_READ_AHEAD_BYTES = 64 * 1024  # bodies read ahead on one connection while a request is handled
 OVERLOAD_RETRY_AFTER = ("Retry-After", "0.500")  # for a request that doesn't fit into the memory
 IDLE_TIMEOUT_S = 75.0
+UNREAD_TIMEOUT_S = 10.0  # time after which a response that the caller does not read is aborted
 LINGER_S = 2.0  # time after an error response in which the client may go on sending before the connection is aborted
 REQUEST_ID = b"request-id"  # header that is copied to the response
 
@@ -90,15 +91,10 @@
 
     # Limits --------------------------------------------------------------------------------------
 
-    @property
-    def is_closed(self) -> bool:
-        """True if the connection is being closed."""
-        return self._closing or self._transport is None or self._transport.is_closing()
-
     @property
     def is_evictable(self) -> bool:
         """True if the connection can be closed in favour of a new one."""
-        return not self.is_closed and not self._answer_task and not self._queue and not self.has_unread_data
+        return not self._closing and not self._answer_task and not self._queue and not self.has_unread_data
 
     @property
     def quiet_since(self) -> float:
@@ -107,8 +103,7 @@
 
     def _update_reservation(self) -> bool:
         """Account what is held for this caller; return False if it doesn't fit."""
-        if self._transport is None or self._transport.is_closing():
-            self._reservation.release()
+        if self._transport is None:
             return True
         other = self._queue.held_bytes + self._handled_bytes + self._transport.get_write_buffer_size()
         return self._reservation.update(self._parser.buffered_bytes, other)
@@ -230,6 +225,7 @@
             return
         self._transport.write(encode_reply(reply, close, request.headers.get(REQUEST_ID)))
         if close:
+            self._start_idle_timer(UNREAD_TIMEOUT_S)  # without it, a caller that does not read holds the connection
             self._closing = True
             self._queue.clear()
             self._transport.close()
--- a/otterreach/sidecar/connection_limit.py
+++ b/otterreach/sidecar/connection_limit.py
@@ -14,8 +14,8 @@
     """A connection that can be closed in favour of a new one."""
 
     @property
-    def is_closed(self) -> bool:
-        """True if the connection is being closed."""
+    def holds_descriptor(self) -> bool:
+        """True until the connection is about to give its descriptor back."""
 
     @property
     def is_evictable(self) -> bool:
@@ -36,7 +36,7 @@
     """Close the quietest connection if there are more than `max_connections`; the newest one if all others are busy."""
     if len(connections) <= max_connections:
         return
-    is_open = [connection for connection in connections if not connection.is_closed]
+    is_open = [connection for connection in connections if connection.holds_descriptor]
     if len(is_open) <= max_connections:
         return
     is_open.sort(key=lambda connection: connection.quiet_since)
--- a/otterreach/sidecar/transport.py
+++ b/otterreach/sidecar/transport.py
@@ -141,6 +141,12 @@
             self._poll = select.poll()
             self._poll.register(sock.fileno(), select.POLLIN | PEER_CLOSED_EVENTS)
 
+    @property
+    def holds_descriptor(self) -> bool:
+        """True until the connection is about to give its descriptor back; unsent data delays a close."""
+        transport = self._transport
+        return transport is not None and (not transport.is_closing() or transport.get_write_buffer_size() > 0)
+
     @property
     def has_unread_data(self) -> bool:
         """True if the kernel has unread data or a close from the client."""
--- a/tests/sidecar/test_connection_limit.py
+++ b/tests/sidecar/test_connection_limit.py
@@ -11,15 +11,15 @@
 class Connection:
     quiet_since: float
     is_evictable: bool = True
-    is_closed: bool = False
+    holds_descriptor: bool = True
 
     def abort(self) -> None:
-        self.is_closed = True
+        self.holds_descriptor = False
 
 
 def closed(connections: list[Connection], max_connections: int) -> list[float]:
     make_room(connections, connections[-1], max_connections)
-    return [connection.quiet_since for connection in connections if connection.is_closed]
+    return [connection.quiet_since for connection in connections if not connection.holds_descriptor]
 
 
 def test_up_to_the_limit_all_stay() -> None:
@@ -41,4 +41,4 @@
 
 
 def test_closed_connections_do_not_count() -> None:
-    assert closed([Connection(1.0, is_closed=True), Connection(2.0), Connection(3.0)], 2) == [1.0]
+    assert closed([Connection(1.0, holds_descriptor=False), Connection(2.0), Connection(3.0)], 2) == [1.0]
