Connections of callers: what counts in the budget is accounted in one place

The connections of clients, of JSON calls and of the sidecar's application each had the same accounting, eviction and refusal. `BudgetedConnection` has them once; each names only what the request being handled takes and how a refusal is answered. The sidecar counts an unread answer of a closing connection until it is gone, as the others do.

--- a/otterreach/proxy/client_connection.py
+++ b/otterreach/proxy/client_connection.py
@@ -12,13 +12,13 @@
 from otterreach.runtime.histogram import Histogram
 from otterreach.runtime.log import log
 from otterreach.sidecar import http1
+from otterreach.sidecar.budgeted_connection import OVERLOAD_RETRY_AFTER_S, BudgetedConnection
 from otterreach.sidecar.connection_limit import make_room
 from otterreach.sidecar.memory_budget import MemoryBudget
 from otterreach.sidecar.read_ahead import ReadAhead, ReceivedRequest
-from otterreach.sidecar.transport import RECEIVE_BUFFER_BYTES, AcceptedConnection
+from otterreach.sidecar.transport import RECEIVE_BUFFER_BYTES
 
 MAX_READ_AHEAD_BYTES = 64 * 1024  # bodies read ahead on one connection while a request runs
-OVERLOAD_RETRY_AFTER_S = 0.5  # for a request that doesn't fit into the memory
 LINGER_S = 1.0  # time for the client to read an error answer before the connection is closed
 UNREAD_TIMEOUT_S = 10.0  # time after which an answer that the client does not read is aborted
 MAX_UNREAD_BYTES = 8 * 1024 * 1024  # buffered bytes at which a streamed answer is aborted
@@ -59,7 +59,7 @@
         """The Keep-Alive header of answers."""
 
 
-class Client(AcceptedConnection):
+class Client(BudgetedConnection):
     """One connection of a client. It is read continuously, because end of file is how a client disconnects.
 
     The class has more than 20 methods because asyncio's callbacks, answers and time-outs all act on the state of the
@@ -67,8 +67,6 @@
     """
 
     def __init__(self, ingress: ClientHost) -> None:
-        super().__init__()
-        self._ingress = ingress
         caps = ingress.caps()
         bounds = http1.Bounds(
             caps.body_bytes,
@@ -77,8 +75,9 @@
             True,
             int(HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE),
         )
-        self._parser = http1.RequestParser(bounds=bounds)
-        self._queue = ReadAhead(MAX_READ_AHEAD_BYTES, RECEIVE_BUFFER_BYTES)
+        queue = ReadAhead(MAX_READ_AHEAD_BYTES, RECEIVE_BUFFER_BYTES)
+        super().__init__(http1.RequestParser(bounds=bounds), queue, ingress.budget)
+        self._ingress = ingress
         self._task: asyncio.Task[None] | None = None
         self._closing = False  # no further input is processed
         self._is_streaming = False  # a chunked answer has begun and not ended
@@ -88,7 +87,6 @@
         self._first_byte_at = self._last_activity_at  # first byte of the request being read
         self._unread_since = 0.0
         self._extra_bytes = 0  # copies of the body of the request being handled
-        self._reservation = ingress.budget.reserve(self)
         self.first_byte_at = 0.0  # first byte of the request being handled
         self.received_at = 0.0  # last byte of the request being handled
 
@@ -121,10 +119,8 @@
         """Cancel the request being handled and drop the queued ones."""
         self._closing = True
         self._ingress.clients.discard(self)
-        self._parser.close()
-        self._queue.clear()
         self._request = None
-        self._reservation.close()
+        self._release()
         if self._task:
             self._task.cancel()
 
@@ -140,27 +136,15 @@
         """Time of the last received byte or completed answer."""
         return self._last_activity_at
 
-    def _update_reservation(self) -> bool:
-        """Account what is held for this client; return False if it doesn't fit."""
-        if self._transport is None:
-            return True
-        running = len(self._request.body) + self._extra_bytes if self._request else 0
-        other = self._queue.held_bytes + running + self._transport.get_write_buffer_size()
-        return self._reservation.update(self._parser.buffered_bytes, other)
+    def _handled_size(self) -> int:
+        """Return the size of the body being handled, with its copies."""
+        return len(self._request.body) + self._extra_bytes if self._request else 0
 
-    def evict(self) -> None:
-        """Refuse the request being received: it has not run. Answers to earlier requests come first."""
-        self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
-        self._update_reservation()
+    def _answer_refusal(self) -> None:
+        """Answer the parser's error, unless answers to earlier requests come first."""
         if not self._task and not self._queue:
             self._reject(int(self._parser.error))
 
-    def _refuse_newest(self) -> None:
-        """Refuse the newest request that has not begun to run, and all that follow it."""
-        if not self._parser.has_partial_request and self._queue:
-            self._queue.pop_newest()
-        self.evict()
-
     def hold_copies(self, copies: int) -> bool:
         """Account further copies of the body of the request being handled; return False if they don't fit."""
         assert self._request is not None
@@ -188,8 +172,7 @@
             self._start_next()
         if self._transport and not self._closing:
             self._queue.update_reading(self._transport)
-        if not self._update_reservation():
-            self._refuse_newest()
+        self._account_received()
 
     def _start_next(self) -> None:
         """Handle the next request that has been read, in order."""
--- a/otterreach/runtime/http.py
+++ b/otterreach/runtime/http.py
@@ -9,16 +9,17 @@
 
 from otterreach.runtime.log import log
 from otterreach.sidecar import http1
+from otterreach.sidecar.budgeted_connection import OVERLOAD_RETRY_AFTER_S, BudgetedConnection
 from otterreach.sidecar.connection_limit import make_room
 from otterreach.sidecar.memory_budget import MemoryBudget, unlimited
 from otterreach.sidecar.read_ahead import ReadAhead, ReceivedRequest
-from otterreach.sidecar.transport import RECEIVE_BUFFER_BYTES, AcceptedConnection, listen_tcp
+from otterreach.sidecar.transport import RECEIVE_BUFFER_BYTES, listen_tcp
 
 MAX_BODY = 36 * 1024 * 1024
 BACKLOG = 256
 MAX_CONNECTIONS = 4096  # without settings
 MAX_READ_AHEAD_BYTES = 64 * 1024  # bodies read ahead on one connection while a request is handled
-OVERLOAD_RETRY_AFTER = ("Retry-After", "0.500")  # for a request that doesn't fit into the memory
+OVERLOAD_RETRY_AFTER = ("Retry-After", f"{OVERLOAD_RETRY_AFTER_S:.3f}")
 IDLE_TIMEOUT_S = 75.0
 UNREAD_TIMEOUT_S = 10.0  # time after which a response that the caller does not read is aborted
 LINGER_S = 2.0  # time after an error response in which the client may go on sending before the connection is aborted
@@ -57,16 +58,14 @@
     return b"\r\n".join(head) + b"\r\n\r\n" + reply.body
 
 
-class _CallerConnection(AcceptedConnection):
+class _CallerConnection(BudgetedConnection):
     """One connection, whose requests are handled one after the other."""
 
     def __init__(self, server: JsonServer) -> None:
-        super().__init__()
+        queue = ReadAhead(MAX_READ_AHEAD_BYTES, RECEIVE_BUFFER_BYTES)
+        super().__init__(http1.RequestParser(server.max_body), queue, server.budget)
         self.server = server
-        self._parser = http1.RequestParser(server.max_body)
-        self._queue = ReadAhead(MAX_READ_AHEAD_BYTES, RECEIVE_BUFFER_BYTES)
         self._handled_bytes = 0  # of the request being handled: its body and what handling it needs
-        self._reservation = server.budget.reserve(self)
         self._last_activity_at = 0.0
         self._answer_task: asyncio.Task[None] | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -84,9 +83,7 @@
         """Drop the queued requests and stop the timer."""
         self.server.callers.discard(self)
         self._closing = True
-        self._queue.clear()  # their responses could not be delivered
-        self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
-        self._reservation.close()
+        self._release()  # responses to queued requests could not be delivered
         self._stop_timer()
 
     # Limits --------------------------------------------------------------------------------------
@@ -101,24 +98,13 @@
         """Time of the last received byte or response."""
         return self._last_activity_at
 
-    def _update_reservation(self) -> bool:
-        """Account what is held for this caller; return False if it doesn't fit."""
-        if self._transport is None:
-            return True
-        other = self._queue.held_bytes + self._handled_bytes + self._transport.get_write_buffer_size()
-        return self._reservation.update(self._parser.buffered_bytes, other)
-
-    def evict(self) -> None:
-        """Refuse the request being received; responses to earlier ones come first."""
-        self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
-        self._update_reservation()
-        self._start_answering()
+    def _handled_size(self) -> int:
+        """Return the size of the request being handled, with what handling it needs."""
+        return self._handled_bytes
 
-    def _refuse_newest(self) -> None:
-        """Refuse the newest request that is not being handled, and all that follow it."""
-        if not self._parser.has_partial_request and self._queue:
-            self._queue.pop_newest()
-        self.evict()
+    def _answer_refusal(self) -> None:
+        """Respond to the refused request after those before it."""
+        self._start_answering()
 
     # Requests ------------------------------------------------------------------------------------
 
@@ -157,8 +143,7 @@
             self._queue.append(ReceivedRequest(request, now, now))
         if self._transport:
             self._queue.update_reading(self._transport)
-        if not self._update_reservation():
-            self._refuse_newest()
+        self._account_received()
         if not self._answer_task:
             self._send_continue()
             self._start_answering()
--- a/otterreach/sidecar/server.py
+++ b/otterreach/sidecar/server.py
@@ -11,17 +11,17 @@
 
 from otterreach.balancer import Settings
 from otterreach.sidecar import http1
+from otterreach.sidecar.budgeted_connection import OVERLOAD_RETRY_AFTER_S, BudgetedConnection
 from otterreach.sidecar.calls import InvalidCallError, parse_call
 from otterreach.sidecar.config import Address, Names
 from otterreach.sidecar.memory_budget import MemoryBudget
 from otterreach.sidecar.read_ahead import ReadAhead, ReceivedRequest
 from otterreach.sidecar.sidecar import Answer, Sidecar
-from otterreach.sidecar.transport import AcceptedConnection, bound_receive_buffers
+from otterreach.sidecar.transport import bound_receive_buffers
 
 BACKLOG = 512
 MAX_READ_AHEAD_BYTES = 16 * 1024  # bodies read ahead per connection
 RECEIVE_BUFFER_BYTES = 16 * 1024  # of the kernel, for each connection
-OVERLOAD_RETRY_AFTER_S = 0.5  # for a request that doesn't fit into the memory
 PARTIAL_REQUEST_GRACE_S = 1.0  # at shutdown: time for the rest of a request after the listener has closed
 STOP_POLL_S = 0.01  # at shutdown: interval of checks for open connections
 FLUSH_S = 0.05  # at shutdown: time to send the last answers
@@ -40,19 +40,17 @@
 NEVER_NS = 2**63
 
 
-class ClientConnection(AcceptedConnection):
+class ClientConnection(BudgetedConnection):
     """A connection of the application, which is read continuously to detect that the client closes it.
 
     More than 20 methods: asyncio's callbacks, answers and time-outs all act on the state of the one connection.
     """
 
     def __init__(self, server: Server) -> None:
-        super().__init__()
+        queue = ReadAhead(MAX_READ_AHEAD_BYTES, RECEIVE_BUFFER_BYTES)  # with times in monotonic ns
+        super().__init__(http1.RequestParser(), queue, server.budget)
         self._server = server
-        self._parser = http1.RequestParser()
-        self._queue = ReadAhead(MAX_READ_AHEAD_BYTES, RECEIVE_BUFFER_BYTES)  # with times in monotonic ns
         self._open_bytes = 0  # body of the open request
-        self._reservation = server.budget.reserve(self)
         self._busy = False
         self._closing = False
         self._keep_alive = True
@@ -93,28 +91,15 @@
         self._process_queue()
         if self._transport and not self._closing:
             self._queue.update_reading(self._transport)
-        if not self._update_reservation():
-            self._refuse_newest()
-
-    def _update_reservation(self) -> bool:
-        """Account what is held for this client; return False if it doesn't fit."""
-        if self._transport is None or self._transport.is_closing():
-            self._reservation.release()
-            return True
-        other = self._queue.held_bytes + self._open_bytes + self._transport.get_write_buffer_size()
-        return self._reservation.update(self._parser.buffered_bytes, other)
-
-    def evict(self) -> None:
-        """Refuse the request being received, after the answers to earlier ones, and close the connection."""
-        self._parser.refuse(int(HTTPStatus.SERVICE_UNAVAILABLE))
-        self._update_reservation()
-        self._process_queue()
+        self._account_received()
 
-    def _refuse_newest(self) -> None:
-        """Refuse the newest request that is not open yet, and all that follow it."""
-        if not self._parser.has_partial_request and self._queue:
-            self._queue.pop_newest()
-        self.evict()
+    def _handled_size(self) -> int:
+        """Return the size of the body of the open request."""
+        return self._open_bytes
+
+    def _answer_refusal(self) -> None:
+        """Answer the refused request after those before it."""
+        self._process_queue()
 
     def _discard_input(self) -> None:
         """Discard received data, with a pause: a client sending at full speed after its error would use all CPU."""
@@ -130,9 +115,7 @@
         """Give up the open request: the client has gone."""
         self._closing = True
         self._server.remove(self)
-        self._parser.close()
-        self._queue.clear()
-        self._reservation.close()
+        self._release()
         self._release_trace_id()
         if self._busy and self._current:
             self._server.sidecar.client_gone(self._current)
