--- a/otterreach/runtime/http_client.py
+++ b/otterreach/runtime/http_client.py
@@ -17,7 +17,7 @@
 
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.http import REQUEST_ID, Reply
-from otterreach.runtime.rpc import set_socket_options
+from otterreach.runtime.socket_options import set_socket_options
 from otterreach.sidecar import http1
 from otterreach.sidecar.transport import ServerConnection
 
--- a/otterreach/runtime/rpc.py
+++ b/otterreach/runtime/rpc.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import struct
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine
@@ -18,6 +17,7 @@
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.frame_admission import SMALL_FRAME_BYTES, FrameAdmission
 from otterreach.runtime.log import log
+from otterreach.runtime.socket_options import set_socket_options
 
 HEADER = struct.Struct("<IIHB")  # length of the body, call number, message number, flags
 REPLY_FLAG = 1
@@ -26,9 +26,6 @@
 MAX_FRAME_BYTES = 96 * 1024 * 1024
 MAX_UNREAD_BYTES = 64 * 1024 * 1024  # limit of the write buffer, which bounds memory; a stuck peer is disconnected
 CONNECT_TIMEOUT_S = 0.5
-USER_TIMEOUT_MS = 1500  # a connection with data unacknowledged for this long is closed: the peer is unreachable
-KEEPALIVE_IDLE_S = 15  # idle time after which the kernel sends keep-alive probes
-KEEPALIVE_INTERVAL_S = 1
 RETIRED_MIN_S = 1.0  # a retired connection stays open for this long: one-way messages may be in flight
 RETIRED_MAX_S = 10.0  # a retired connection is closed after this time even with calls in flight
 RETIRED_CHECK_S = 0.25
@@ -291,20 +288,6 @@
         return Failure(Code.INTERNAL, f"code {reply.code}: {reply.reason}")
 
 
-def set_socket_options(sock: socket.socket | None) -> None:
-    """Send small messages without delay, and detect a peer that has vanished.
-
-    :param sock: None for a connection in memory, which has no socket
-    """
-    if sock is None:
-        return
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
-
-
 class Endpoint:
     """The RPC end point of a process: its handlers, its listener and all its connections."""
 
--- a/tests/simulation/test_simulation.py
+++ b/tests/simulation/test_simulation.py
@@ -19,6 +19,7 @@
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.node import MemberShutdown
 from otterreach.runtime.rpc import Done, Endpoint, Link
+from otterreach.runtime.socket_options import USER_TIMEOUT_MS
 from otterreach.simulation import control, faults, jobs, registration
 from otterreach.simulation.disk import Disk, VirtualJournal
 from otterreach.simulation.loop import Process, StalledError, VirtualLoop
@@ -190,7 +191,7 @@
             began = pair.loop.time()
             reply = await pair.call(9.0)
             self.assertEqual(Code.CLOSED, reply.code)
-            self.assertAlmostEqual(rpc.USER_TIMEOUT_MS / 1000, pair.loop.time() - began, 2)
+            self.assertAlmostEqual(USER_TIMEOUT_MS / 1000, pair.loop.time() - began, 2)
 
         Pair().play(work)
 
