--- a/otterreach/sidecar/memory_budget.py
+++ b/otterreach/sidecar/memory_budget.py
@@ -123,6 +123,7 @@
         now = self._clock()
 
         def cost(reservation: Reservation) -> float:
+            """Return the rank of a request: what it holds, for how long without progress."""
             return reservation.incomplete_bytes * (now - reservation.progress_at + MIN_STALL_S)
 
         candidates = [one for one in self._incomplete if grown.is_small or not one.is_small]
--- a/tests/crowds/deployments.py
+++ b/tests/crowds/deployments.py
@@ -33,12 +33,14 @@
 ACCEPTED = 202
 
 
-def plan(ram_mib: int = RAM_MIB, body_bytes: int = BODY_BYTES, nofile: int = NOFILE) -> Plan:
-    """Return a plan with one process of each role and one server for each kind of route."""
+def plan(
+    ram_mib: int = RAM_MIB, body_bytes: int = BODY_BYTES, nofile: int = NOFILE, front: int = 1, core: int = 1
+) -> Plan:
+    """Return a plan with one process of each role, or more, and one server for each kind of route."""
     return Plan(
         name="crowds",
         seconds=0.0,
-        machines=Machines(front=1, store=1, core=1, ram_mb=ram_mib, nofile=nofile),
+        machines=Machines(front=front, store=1, core=core, ram_mb=ram_mib, nofile=nofile),
         zones=["hall-a"],
         survive=0,
         body_bytes=body_bytes,
@@ -57,13 +59,13 @@
     def __init__(self, play: Play) -> None:
         self.play = play
 
-    def machine(self, kind: str) -> Machine:
-        """Return the only machine of a class."""
-        return self.play.system.machines_of_kind(kind)[0]
+    def machine(self, kind: str, index: int = 0) -> Machine:
+        """Return a machine of a class."""
+        return self.play.system.machines_of_kind(kind)[index]
 
-    def observe(self, kind: str) -> Observer:
-        """Observe the process of a class."""
-        machine = self.machine(kind)
+    def observe(self, kind: str, index: int = 0) -> Observer:
+        """Observe the process of a machine."""
+        machine = self.machine(kind, index)
         return Observer(machine.pid, machine.ip)
 
     @property
@@ -81,10 +83,10 @@
         """Where servers, applications and the operator call."""
         return self.machine("core").ip, CTL_PORT
 
-    async def call(self, path: str, body: bytes, ident: str) -> int:
+    async def call(self, path: str, body: bytes, ident: str, front: int = 0) -> int:
         """Send one request of a client; return its status, or 0 without an answer."""
         headers = {b"Request-Id": ident.encode()}
-        host, port = self.front
+        host, port = self.machine("front", front).ip, FRONT_PORT
         answer = await send_request(f"{host}:{port}", "POST", path, body, headers, ANSWER_TIMEOUT_S, HOST)
         return 0 if isinstance(answer, Failure) else answer.status
 
@@ -125,18 +127,18 @@
         await play._stop()
 
 
-def batch_job(size: int) -> bytes:
+def batch_job(size: int, model: str = "m-one") -> bytes:
     """Return the body of a batch job with one item, about `size` bytes long."""
     item = {
         "id": "item",
         "path": "/samples/item",
-        "headers": {"Model": "m-one", "Tokens": "8,8", "Prompt-Prefix": "p:8"},
+        "headers": {"Model": model, "Tokens": "8,8", "Prompt-Prefix": "p:8"},
         "tokens": 16,
         "group": "g",
         "scorer": {"id": "score", "host": HOST, "path": "/lookup/score", "body": "eA=="},
         "body": "",
     }
-    job = {"step": 1, "model": "m-one", "minVersion": 0, "desired": 1, "reqs": [item]}
+    job = {"step": 1, "model": model, "minVersion": 0, "desired": 1, "reqs": [item]}
     empty = len(json.dumps(job))
     item["body"] = base64.b64encode(b"x" * ((size - empty) // 4 * 3 - 3)).decode()
     body = json.dumps(job).encode()
--- a/tests/crowds/test_jobstore.py
+++ b/tests/crowds/test_jobstore.py
@@ -31,3 +31,19 @@
             front.check(RAM_MIB, NOFILE)
 
     asyncio.run(main())
+
+
+@pytest.mark.parametrize("fronts", [3])
+def test_submissions_by_several_proxies(fronts: int, tmp_path: Path) -> None:
+    async def main() -> None:
+        async with deployment(tmp_path, plan(front=fronts)) as system:
+            body = batch_job(BODY_BYTES)
+            async with system.observe("store") as store:
+                calls = [system.call(f"/samples/{n}", body, f"job-{n}", n % fronts) for n in range(SUBMISSIONS)]
+                statuses = await asyncio.gather(*calls)
+                assert set(statuses) <= {0, ACCEPTED, 429, 502, 503, 504}, statuses
+                await system.call_until("/lookup/a", b"ordinary", SERVED)
+            print(f"store: {store}")
+            store.check(RAM_MIB, NOFILE)
+
+    asyncio.run(main())
--- a/tests/crowds/test_sidecar.py
+++ b/tests/crowds/test_sidecar.py
@@ -12,7 +12,7 @@
 import pytest
 
 from otterreach.sidecar.config import Address
-from tests.crowds.clients import BODIES, Crowd, Kind, OpenCrowd
+from tests.crowds.clients import BODIES, LAST_CHUNK, Crowd, Kind, OpenCrowd, chunked, with_length
 from tests.crowds.deployments import ANSWERED_WITHIN_S, RETRY_S, SERVED
 from tests.crowds.observed import Observer
 from tests.sidecar.net import Discovery, Endpoint, exchange, member, raw_call, write_config
@@ -22,6 +22,7 @@
 MEMORY_MIB = 48
 SOCKETS = 1024
 CLIENTS = 400
+MANY_CLIENTS = 1200
 BODY_BYTES = 64 * 1024  # largest legal body
 HOLD_S = 1.0
 HOST = "127.14.0.1"
@@ -85,3 +86,45 @@
             observer.check(MEMORY_MIB, SOCKETS)
 
     asyncio.run(main())
+
+
+def test_many_connections(tmp_path: Path) -> None:
+    """More clients with the beginning of a request than the sidecar may have sockets."""
+
+    async def main() -> None:
+        async with sidecar(tmp_path) as (process, address):
+            await call_until_served(address)
+            open_crowd = OpenCrowd()
+            try:
+                async with Observer(process.pid, HOST) as observer:
+                    await open_crowd.send(Crowd(Kind.UNFINISHED_HEAD, MANY_CLIENTS, BODY_BYTES, HEAD), address)
+                    await asyncio.sleep(HOLD_S)
+                    await call_until_served(address)
+            finally:
+                open_crowd.close()
+            print(f"sidecar: {observer}")
+            observer.check(MEMORY_MIB, SOCKETS)
+
+    asyncio.run(main())
+
+
+@pytest.mark.parametrize("chunk", [0, 1, 2, BODY_BYTES])
+def test_a_single_request_is_served_in_calm(chunk: int, tmp_path: Path) -> None:
+    """The largest legal body, whole (0) or in chunks of this size."""
+
+    async def main() -> None:
+        async with sidecar(tmp_path) as (process, address):
+            await call_until_served(address)
+            head = HEAD.replace("{n}", "calm")
+            if chunk:
+                cuts = BODY_BYTES // chunk
+                body = b"".join([b"%x\r\n%s\r\n" % (chunk, b"x" * chunk)] * cuts) + LAST_CHUNK
+                data = chunked(head) + body
+            else:
+                data = with_length(head, BODY_BYTES) + b"x" * BODY_BYTES
+            async with Observer(process.pid, HOST) as observer:
+                answer = await exchange(address, data)
+            assert answer.status == SERVED
+            observer.check(MEMORY_MIB, SOCKETS)
+
+    asyncio.run(main())
