--- a/tests/sidecar/test_bad_clients.py
+++ b/tests/sidecar/test_bad_clients.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from otterreach.sidecar import server
+from otterreach.sidecar import client_connection, server
 from tests.sidecar.net import Endpoint, exchange, limited, raw_call, read_response, until, world
 from tests.sidecar.test_endpoints import never_answer
 from tests.sidecar.test_sidecar import slow
@@ -20,7 +20,7 @@
 @pytest.fixture
 def short_timeouts(monkeypatch: pytest.MonkeyPatch) -> None:
     for name in ("FIRST_REQUEST_TIMEOUT_S", "REQUEST_TIMEOUT_S", "LINGER_S"):
-        monkeypatch.setattr(server, name, 0.1)
+        monkeypatch.setattr(client_connection, name, 0.1)
     monkeypatch.setattr(server, "SWEEP_INTERVAL_S", 0.02)
 
 
--- a/tests/sidecar/test_draining.py
+++ b/tests/sidecar/test_draining.py
@@ -14,8 +14,8 @@
 
 from otterreach.balancer import interface as api
 from otterreach.balancer.interface import Status
+from otterreach.sidecar.client_connection import ClientConnection
 from otterreach.sidecar.endpoints import QUIET_PERIOD_S, Attempt
-from otterreach.sidecar.server import ClientConnection
 from tests.balancer.support import MS
 from tests.sidecar.net import Endpoint, World, exchange, limited, raw_call, until, world
 from tests.sidecar.test_endpoints import Driver, never_answer
