RPC: messages that pass on a long body have a connection of their own

What peers see: while a long message waits at its receiver for room, nothing that its sender writes after it is read: heartbeats, pings and acknowledgements of a controller or a proxy wait, and it seems dead. A call that timed out also left its unsent copy in the connection that was given up, for up to 10 s. Cause: a pair of processes shares one connection, and admission pauses all of it. Evidence: tests/runtime/test_frame_admission.py, a short call of the same caller timed out behind a long one (no crowd test showed it), and two connections were left. Change: a request that passes on more than 1 MiB of a caller's body goes over a connection of its own, which is aborted after the call: what is unsent is dropped with it. Result: both tests pass. Nothing on the wire changes but the number of connections.

--- a/otterreach/controller/messages.py
+++ b/otterreach/controller/messages.py
@@ -228,3 +228,7 @@
     match: str  # the If-Match header
     body: bytes
     query: str = ""  # the query string of the URL
+
+    def passed_on_size(self) -> int:
+        """Return the size of the body."""
+        return len(self.body)
--- a/otterreach/jobstore/messages.py
+++ b/otterreach/jobstore/messages.py
@@ -20,6 +20,10 @@
     route: str  # name of that route at the time
     body: bytes  # the JSON, unchanged
 
+    def passed_on_size(self) -> int:
+        """Return the size of the body."""
+        return len(self.body)
+
 
 @message(62)
 @dataclass(slots=True)
--- a/otterreach/runtime/codec.py
+++ b/otterreach/runtime/codec.py
@@ -27,6 +27,8 @@
 from flatbuffers.number_types import BoolFlags, Float64Flags, Int64Flags
 from flatbuffers.table import Table
 
+from otterreach.runtime.codes import Code, Failure
+
 T = TypeVar("T")
 ReplyT = TypeVar("ReplyT")
 ReplyT_co = TypeVar("ReplyT_co", covariant=True)
@@ -37,6 +39,10 @@
 
     __slots__ = ()
 
+    def passed_on_size(self) -> int:
+        """Return the size of a caller's body that the request passes on; 0 for requests of the system's own."""
+        return 0
+
 
 @dataclass(frozen=True, slots=True)
 class FieldPlan:
@@ -197,6 +203,14 @@
         raise MessageError(f"{cls.__name__}: {error}") from None
 
 
+def checked_reply(request: Request[ReplyT], reply: Any) -> ReplyT | Failure:
+    """Return the reply if it has the type that the request expects, else a Failure."""
+    is_expected = isinstance(reply, (Failure, REPLIES[type(request)]))
+    if is_expected:
+        return reply  # type: ignore[no-any-return]
+    return Failure(Code.BAD_MESSAGE, f"{type(reply).__name__} in answer to {type(request).__name__}")
+
+
 def decode_as(kind: type[T], buffer: bytes) -> T:
     """Decode a message of that type. Raise MessageError."""
     value: T = decode(NUMBERS[kind], buffer)
--- a/otterreach/runtime/rpc.py
+++ b/otterreach/runtime/rpc.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Any, TypeVar
 
-from otterreach.runtime.codec import NUMBERS, REPLIES, MessageError, ReplyT, Request, decode, encode, message
+from otterreach.runtime.codec import NUMBERS, MessageError, ReplyT, Request, checked_reply, decode, encode, message
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.frame_admission import SMALL_FRAME_BYTES, FrameAdmission
 from otterreach.runtime.log import log
@@ -24,6 +24,7 @@
 ONE_WAY = 0  # call number of a one-way message
 MAX_CALL_NUMBER = 0xFFFFFFF0
 MAX_FRAME_BYTES = 96 * 1024 * 1024
+LONG_BODY_BYTES = 1024 * 1024  # of a caller; a message that passes on a longer one has a connection of its own
 MAX_UNREAD_BYTES = 64 * 1024 * 1024  # limit of the write buffer, which bounds memory; a stuck peer is disconnected
 CONNECT_TIMEOUT_S = 0.5
 RETIRED_MIN_S = 1.0  # a retired connection stays open for this long: one-way messages may be in flight
@@ -235,7 +236,7 @@
         finally:
             timer.cancel()
             self._calls.pop(call_number, None)
-        return _checked_reply(request, reply)
+        return checked_reply(request, reply)
 
     def _expire(self, call_number: int) -> None:
         future = self._calls.pop(call_number, None)
@@ -269,14 +270,6 @@
             self._transport.abort()
 
 
-def _checked_reply(request: Request[ReplyT], reply: Any) -> ReplyT | Failure:
-    """Return the reply if it has the type that the request expects, else a Failure."""
-    is_expected = isinstance(reply, (Failure, REPLIES[type(request)]))
-    if is_expected:
-        return reply  # type: ignore[no-any-return]
-    return Failure(Code.BAD_MESSAGE, f"{type(reply).__name__} in answer to {type(request).__name__}")
-
-
 def _to_failure(reply: FailureReply) -> Failure:
     """Convert a received failure.
 
@@ -347,6 +340,12 @@
         return await asyncio.shield(opening)
 
     async def _open(self, address: str) -> Link | Failure:
+        link = await self._connect(address)
+        if isinstance(link, Link):
+            self._opened[address] = link
+        return link
+
+    async def _connect(self, address: str) -> Link | Failure:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
@@ -354,11 +353,12 @@
                 _, link = await loop.create_connection(lambda: Link(self, address), host, int(port))
         except (OSError, ValueError, TimeoutError) as error:
             return Failure(Code.UNREACHABLE, f"{address}: {type(error).__name__}")
-        self._opened[address] = link
         return link
 
     async def call(self, address: str, request: Request[ReplyT], timeout_s: float) -> ReplyT | Failure:
         """Send a request to host:port and return its reply or a Failure. The time-out includes connecting."""
+        if request.passed_on_size() > LONG_BODY_BYTES:
+            return await self._call_separately(address, request, timeout_s)
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout_s
         link: Link | Failure | None = self.open_link(address)
@@ -378,6 +378,22 @@
             link.retire()
         return reply
 
+    async def _call_separately(self, address: str, request: Request[ReplyT], timeout_s: float) -> ReplyT | Failure:
+        """Call over a connection of its own.
+
+        The receiver may stop reading until it has room for a long message, and heartbeats must not wait behind it.
+        After a time-out, what is unsent is dropped at once.
+        """
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout_s
+        link = await self._connect(address)
+        if isinstance(link, Failure):
+            return link
+        try:
+            return await link.call(request, max(MIN_CALL_S, deadline - loop.time()))
+        finally:
+            link.abort()
+
     async def close(self) -> None:
         """Stop listening, cancel all tasks and abort all connections."""
         if self._server:
--- a/tests/runtime/test_frame_admission.py
+++ b/tests/runtime/test_frame_admission.py
@@ -7,10 +7,11 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from otterreach.controller.messages import ApiCall, ApiResponse
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.frame_admission import SMALL_FRAME_BYTES, STALL_S, FrameAdmission
 from otterreach.runtime.node import MemberShutdown
-from otterreach.runtime.rpc import Done, Endpoint, Link
+from otterreach.runtime.rpc import LONG_BODY_BYTES, Done, Endpoint, Link
 from tests import virtual
 from tests.virtual import MemoryLoop
 
@@ -145,3 +146,53 @@
         assert pair.admission._waiting == type(pair.admission._waiting)()
 
     run_pair(main)
+
+
+def test_short_calls_do_not_wait_behind_long_ones_of_the_same_caller() -> None:
+    """A heartbeat or a ping that waited for room would make its sender seem dead."""
+
+    async def body() -> None:
+        far, near = Endpoint(), Endpoint()
+        far.limit_memory(ApiCall, FrameAdmission(1, COPIES))
+        wait_s = 3.0
+
+        async def handle_call(link: Link, call: ApiCall) -> ApiResponse:
+            await asyncio.sleep(wait_s)
+            return ApiResponse(200, b"")
+
+        async def handle_shutdown(link: Link, request: MemberShutdown) -> Done:
+            return Done()
+
+        far.on(ApiCall, handle_call)
+        far.on(MemberShutdown, handle_shutdown)
+        await far.listen("10.0.0.2", 5)
+        assert await near.call(ADDRESS, MemberShutdown("short", "disk"), 1.0) == Done()
+        call = ApiCall("PUT", "/config", "1", b"x" * (2 * LONG_BODY_BYTES))
+        long = [asyncio.ensure_future(near.call(ADDRESS, call, 10.0)) for _ in range(2)]
+        await asyncio.sleep(0.5)
+        assert await near.call(ADDRESS, MemberShutdown("short", "disk"), 1.0) == Done()
+        assert [reply.status for reply in await asyncio.gather(*long) if isinstance(reply, ApiResponse)] == [200, 200]
+        await asyncio.sleep(0.1)
+        assert (len(near.links), len(far.links)) == (1, 1)  # that of the short calls
+
+    virtual.run(body, MemoryLoop())
+
+
+def test_a_long_call_that_times_out_leaves_nothing_behind() -> None:
+    async def body() -> None:
+        far, near = Endpoint(), Endpoint()
+        far.limit_memory(ApiCall, FrameAdmission(1, COPIES))
+
+        async def handle_call(link: Link, call: ApiCall) -> ApiResponse:
+            await asyncio.sleep(60.0)
+            return ApiResponse(200, b"")
+
+        far.on(ApiCall, handle_call)
+        await far.listen("10.0.0.2", 5)
+        call = ApiCall("PUT", "/config", "1", b"x" * (2 * LONG_BODY_BYTES))
+        reply = await near.call(ADDRESS, call, 0.5)
+        assert isinstance(reply, Failure) and reply.code is Code.TIMED_OUT
+        await asyncio.sleep(0.1)
+        assert (len(near.links), len(far.links)) == (0, 0)
+
+    virtual.run(body, MemoryLoop())
