Controllers keep three quarters of their descriptors for callers

What callers could see: the limit on connections was the proxy's half, 1,948 of 4,096. A controller opens few connections of its own.

--- a/otterreach/controller/node.py
+++ b/otterreach/controller/node.py
@@ -21,7 +21,7 @@
 from otterreach.controller.survival import limits_of
 from otterreach.controller.watch_hub import WatchHub
 from otterreach.controller.watcher import LivenessReporter
-from otterreach.runtime.caller_limits import max_connections, memory_budget
+from otterreach.runtime.caller_limits import CONTROLLER_DESCRIPTOR_SHARE, max_connections, memory_budget
 from otterreach.runtime.http import JsonServer
 from otterreach.runtime.journal import Journal
 from otterreach.runtime.journal_format import Record
@@ -73,7 +73,10 @@
             self.control, self.api.histories, self.receipts, event_retention_s(settings)
         )
         self.server = JsonServer(
-            self.api.handle, memory_budget(settings, clock), max_connections(settings), working_size=decoded_size
+            self.api.handle,
+            memory_budget(settings, clock),
+            max_connections(settings, CONTROLLER_DESCRIPTOR_SHARE),
+            working_size=decoded_size,
         )
         self._stable_from = 0.0  # from this time on, missing heartbeats are acted on
         self._planned_at = clock()  # time of the last iteration of `_plan`; a long gap between them is a stall
--- a/otterreach/proxy/node.py
+++ b/otterreach/proxy/node.py
@@ -16,7 +16,7 @@
 from otterreach.proxy.requests import Requests, decode_latin1, parse_number, path_of
 from otterreach.proxy.runner import Runner
 from otterreach.proxy.streams import Streams
-from otterreach.runtime.caller_limits import max_connections, memory_budget
+from otterreach.runtime.caller_limits import PROXY_DESCRIPTOR_SHARE, max_connections, memory_budget
 from otterreach.runtime.configuration import ROLLOUT, STREAM
 from otterreach.runtime.http import JsonServer, Reply
 from otterreach.runtime.http_client import JsonClient
@@ -50,7 +50,7 @@
         self.batch_jobs = BatchJobs(self.runner.directory)
         self.orders = WeightOrders(node, JsonClient())
         budget = memory_budget(node.settings, self.fleet.loop.time)
-        connections = max_connections(node.settings)
+        connections = max_connections(node.settings, PROXY_DESCRIPTOR_SHARE)
         self.ingress = Ingress(self.handle, lambda: self.fleet.config.caps, budget, connections)
         self.probes = JsonServer(self._probe, budget, MAX_PROBE_CONNECTIONS, MAX_PROBE_BODY)
         self.shutting_down = False
