--- a/otterreach/runtime/rpc.py
+++ b/otterreach/runtime/rpc.py
@@ -1,7 +1,7 @@
 """Remote procedure calls between the processes of the system over TCP.
 
-A pair of processes shares one connection, which multiplexes calls in both directions; a long message has one of its own.
-A frame is <length, call number, message number, flags> and a flatbuffer. A call gets one reply or a Failure; a one-way
+A pair of processes shares one connection, which multiplexes calls in both directions; a long message has its own. A
+frame is <length, call number, message number, flags> and a flatbuffer. A call gets one reply or a Failure; a one-way
 message gets no reply.
 """
 
--- a/tests/sidecar/test_body_writing.py
+++ b/tests/sidecar/test_body_writing.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 
 import pytest
 
@@ -38,38 +40,42 @@
     return sock
 
 
-@limited
-async def test_a_server_that_does_not_read_costs_no_copy_of_the_body() -> None:
-    loop = asyncio.get_running_loop()
+@asynccontextmanager
+async def connected() -> AsyncIterator[tuple[Writer, socket.socket]]:
+    """Yield a connection and the server's side of it."""
     with listener() as server:
         connection = await open_tcp(server.getsockname(), Writer)
-        theirs, _ = await loop.sock_accept(server)
+        theirs, _ = await asyncio.get_running_loop().sock_accept(server)
         with theirs:
-            connection.start(HEAD, BODY)
-            await asyncio.sleep(0.05)
-            assert connection.has_unsent_data
-            assert connection.buffered_bytes <= WRITE_BYTES
-            received = bytearray()
-            while len(received) < len(HEAD + BODY):
-                received += await loop.sock_recv(theirs, 1 << 20)
-            assert received == HEAD + BODY
-            await until(lambda: not connection.has_unsent_data)
-            connection.abort()
+            yield connection, theirs
+
+
+@limited
+async def test_a_server_that_does_not_read_costs_no_copy_of_the_body() -> None:
+    loop = asyncio.get_running_loop()
+    async with connected() as (connection, theirs):
+        connection.start(HEAD, BODY)
+        await asyncio.sleep(0.05)
+        assert connection.has_unsent_data
+        assert connection.buffered_bytes <= WRITE_BYTES
+        received = bytearray()
+        while len(received) < len(HEAD + BODY):
+            received += await loop.sock_recv(theirs, 1 << 20)
+        assert received == HEAD + BODY
+        await until(lambda: not connection.has_unsent_data)
+        connection.abort()
 
 
 @limited
 async def test_an_aborted_request_is_not_completed() -> None:
     loop = asyncio.get_running_loop()
-    with listener() as server:
-        connection = await open_tcp(server.getsockname(), Writer)
-        theirs, _ = await loop.sock_accept(server)
-        with theirs:
-            connection.start(HEAD, BODY)
-            connection.abort()
-            assert connection.has_unsent_data
-            received = 0
-            with pytest.raises(ConnectionResetError):
-                while data := await loop.sock_recv(theirs, 1 << 20):
-                    received += len(data)
-                raise ConnectionResetError
-            assert received < len(BODY)
+    async with connected() as (connection, theirs):
+        connection.start(HEAD, BODY)
+        connection.abort()
+        assert connection.has_unsent_data
+        received = 0
+        with pytest.raises(ConnectionResetError):
+            while data := await loop.sock_recv(theirs, 1 << 20):
+                received += len(data)
+            raise ConnectionResetError
+        assert received < len(BODY)
