Proxy: a connection to a server carries each Request-Id once

What callers saw: a mutating request was answered 503 although it ran (REFUSED), or ran twice (TWICE). An item that came again in a later batch job could get the reward of its earlier text (MIXED).

Cause: all attempts of a request have one Request-Id, and a connection went back to the pool after an answer that rejects the request. The next attempt at that server could use it again. A server in trouble sends a copy of an earlier answer late, in the place of the next one; the copy of the rejection had the id of the new attempt and was taken for its answer while the server ran it. The same holds for each path that sends an id again: streams, items of later batch jobs, reward calls.

Change: a connection remembers the ids that it has carried, by their hashes, and is passed over for a request with one of them. Then an answer with the id of the request can't be a copy, whatever its status. The memory is bounded by 500 requests for a connection.

Three tests sent one id several times where a connection is to be used again; they send different ids now, as clients do.

--- a/otterreach/proxy/exchange.py
+++ b/otterreach/proxy/exchange.py
@@ -153,7 +153,8 @@
             self._drop()
 
     async def _run(self) -> Outcome:
-        connection = await self.pool.acquire(self.deadline - self.loop.time(), self.fresh_only)
+        request_id = self.outbound.request_id
+        connection = await self.pool.acquire(self.deadline - self.loop.time(), request_id, self.fresh_only)
         if connection is None:
             return Outcome(Execution.NOT_EXECUTED, "no_connection", timed_out=self.loop.time() >= self.deadline)
         # While connecting, in a delayed event loop or a paused process, the deadline may have passed, or the request or
@@ -165,7 +166,7 @@
         self._connection = connection
         self._parser = http1.ResponseParser(self._body, self._head, BOUNDS, require_framing=True)
         self.sent_at = self.loop.time()
-        connection.start(self, self.outbound.encode_head(self.server, left, self.extra), self.outbound.body)
+        connection.start(self, request_id, self.outbound.encode_head(self.server, left, self.extra), self.outbound.body)
         timer = self.loop.call_at(self.deadline, self.give_up, "timeout", True)
         try:
             return await self._done
--- a/otterreach/proxy/pools.py
+++ b/otterreach/proxy/pools.py
@@ -4,12 +4,16 @@
 reused first, so that none stays unused until the server closes it. A connection stays idle for at least MIN_IDLE_S
 before its next exchange, so that surplus bytes of an answer are detected. A request that must not be repeated takes the
 most recently used connection, which is the least likely to be stale.
+
+A server may send a copy of an earlier answer in place of the next one. All attempts of a request have the same
+Request-Id, so a connection carries each id once: an answer with the id of the current request can't be a copy then.
 """
 
 from __future__ import annotations
 
 import asyncio
 import socket
+from array import array
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from enum import Enum, auto
@@ -22,6 +26,7 @@
 MAX_FRESH_IDLE_S = 1.0  # a connection idle for longer may be stale and gets no request that must not be repeated
 IDLE_MARGIN_S = 0.4  # close this long before the Keep-Alive timeout of the server
 DEFAULT_MAX_IDLE_S = 60.0  # where the server announces no timeout: the server closes first
+MAX_REQUESTS = 500  # on one connection; bounds the ids that it remembers
 # The kernel drops a connection with bytes unacknowledged for longer, so that a cancelled request never runs late.
 USER_TIMEOUT_MS = 1000
 KEEPALIVE_IDLE_S = 1
@@ -60,8 +65,21 @@
         self.pool = pool
         self.state = State.NEW
         self.max_idle_s = DEFAULT_MAX_IDLE_S
-        self.use_count = 0  # number of exchanges started on this connection
         self._user: ConnectionUser | None = None
+        # Of the Request-Ids that the connection has carried: 8 bytes each, however long the ids are.
+        self._id_hashes = array("q")
+
+    @property
+    def use_count(self) -> int:
+        """Number of exchanges started on this connection."""
+        return len(self._id_hashes)
+
+    def has_carried(self, request_id: bytes) -> bool:
+        """Return True if a request with this id was written to the connection.
+
+        Another request with it needs another connection: a late copy of the first answer would be taken for its own.
+        """
+        return hash(request_id) in self._id_hashes
 
     def _change(self, state: State) -> None:
         """Change the state and update the pool's lists; nothing else may set the state."""
@@ -105,17 +123,17 @@
         """Return True if the connection is open and has no unread data."""
         return self.state is not State.CLOSED and super().is_reusable()
 
-    def start(self, user: ConnectionUser, head: bytes, body: bytes) -> None:
+    def start(self, user: ConnectionUser, request_id: bytes, head: bytes, body: bytes) -> None:
         """Write a request and assign the connection to a user, which receives the answer."""
         self._change(State.BUSY)
         self._user = user
-        self.use_count += 1
+        self._id_hashes.append(hash(request_id))
         self._write(head, body)
 
     def release(self) -> None:
         """Return the connection to the pool after a complete exchange, or close it if it can't be reused."""
         self._user = None
-        if self.pool.closed or self.closing or self.has_unsent_data:
+        if self.pool.closed or self.closing or self.has_unsent_data or self.use_count >= MAX_REQUESTS:
             self.discard()
         else:
             self._change(State.IDLE)
@@ -165,10 +183,10 @@
         """True if a connection is idle or another one may be opened."""
         return bool(self.idle) or len(self.connections) + self._opening < self.max_connections
 
-    def _idle_connection(self, fresh_only: bool) -> Connection | None:
+    def _idle_connection(self, request_id: bytes, fresh_only: bool) -> Connection | None:
         now = self.loop.time()
         for connection in reversed(self.idle.copy()) if fresh_only else self.idle.copy():
-            if connection.idle_since > now - MIN_IDLE_S:
+            if connection.idle_since > now - MIN_IDLE_S or connection.has_carried(request_id):
                 continue
             if fresh_only and connection.idle_since < now - MAX_FRESH_IDLE_S:
                 return None
@@ -177,17 +195,19 @@
             connection.discard()
         return None
 
-    async def acquire(self, timeout_s: float, fresh_only: bool = False) -> Connection | None:
+    async def acquire(self, timeout_s: float, request_id: bytes, fresh_only: bool = False) -> Connection | None:
         """Return an idle connection past MIN_IDLE_S, or a new one; None if neither is available within the time-out.
 
+        :param request_id: of the request to be written; the connection has not carried it before
         :param fresh_only: take the most recently used connection, and only if it has been idle for a short time
         """
         end = self.loop.time() + timeout_s
         while self.idle:
-            connection = self._idle_connection(fresh_only)
+            connection = self._idle_connection(request_id, fresh_only)
             if connection:
                 return connection
-            too_recent = [c.idle_since for c in self.idle if c.idle_since > self.loop.time() - MIN_IDLE_S]
+            recent = self.loop.time() - MIN_IDLE_S
+            too_recent = [c.idle_since for c in self.idle if c.idle_since > recent and not c.has_carried(request_id)]
             if not too_recent:
                 break
             wait = min(too_recent) + MIN_IDLE_S - self.loop.time()
--- a/tests/proxy/test_requests.py
+++ b/tests/proxy/test_requests.py
@@ -365,8 +365,8 @@
         world = World([route(kind="mutating")])
         server = world.server("i-1", serve)
         caller = FakeClient(ingress(world))
-        for pause in (0.5, 3.0, 0.0):
-            await caller.ask()
+        for ident, pause in (("q1", 0.5), ("q2", 3.0), ("q3", 0.0)):
+            await caller.ask(ident=ident)
             await asyncio.sleep(pause)
         self.assertEqual(server.opened, 2)
 
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -7,6 +7,7 @@
 import unittest
 from contextlib import suppress
 from typing import Any
+from unittest import mock
 
 from otterreach.proxy.client_connection import Client
 from otterreach.proxy.exchange import Exchange, Execution, Outbound, Outcome
@@ -19,19 +20,25 @@
 LONG_BODY_S = 60.0  # transferring 64 MB takes long on a busy machine, and the time-out is not under test
 
 
-def outbound(body: bytes = b"") -> Outbound:
-    return Outbound(b"POST", b"/a", {b"host": b"h", b"request-id": b"q"}, body, b"q")
+def outbound(body: bytes = b"", ident: bytes = b"q") -> Outbound:
+    return Outbound(b"POST", b"/a", {b"host": b"h", b"request-id": ident}, body, ident)
+
+
+def id_in(request: bytes) -> bytes:
+    """Return the Request-Id in the bytes of a request."""
+    return request.partition(b"request-id: ")[2].partition(b"\r\n")[0]
 
 
 class Sockets(unittest.IsolatedAsyncioTestCase):
     async def serve(self, answer: bytes, close: bool = False) -> tuple[asyncio.Server, tuple[str, int], list[bytes]]:
+        """Start a server that answers each request alike; ID in the answer stands for the id of its request."""
         got: list[bytes] = []
 
         async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while data := await reader.read(65536):
                 got.append(data)
                 if answer:
-                    writer.write(answer)
+                    writer.write(answer.replace(b"ID", id_in(data)))
                 if close:
                     break
             writer.close()
@@ -45,16 +52,35 @@
         return Exchange(pool, "i-1", request or outbound(), pool.loop.time() + within_s, lambda: True, **more)
 
     async def test_an_answer_and_a_kept_connection(self) -> None:
-        head = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n" + SEAL
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + SEAL
         _, address, got = await self.serve(head + b"Content-Length: 2\r\n\r\nhi")
         pool = Pool(asyncio.get_running_loop(), address)
-        for _ in range(2):
-            outcome = await self.exchange(pool).run()
+        for ident in (b"q1", b"q2"):
+            outcome = await self.exchange(pool, outbound(ident=ident)).run()
             self.assertEqual((outcome.execution, outcome.status, outcome.body), (Execution.ANSWERED, 200, b"hi"))
         self.assertEqual((pool.opened, len(pool.idle), len(got)), (1, 1, 2))
         pool.close()
         self.assertEqual((pool.idle, pool.connections), ([], set()))
 
+    async def test_a_connection_carries_each_id_once(self) -> None:
+        """TWICE: a late copy of the first answer would be taken for the answer to the second attempt."""
+        _, address, _ = await self.serve(b"HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        pool = Pool(asyncio.get_running_loop(), address)
+        for ident in (b"q1", b"q1", b"q2", b"q2"):
+            await self.exchange(pool, outbound(ident=ident)).run()
+        self.assertEqual((pool.opened, len(pool.idle)), (2, 2))
+        pool.close()
+
+    async def test_a_connection_carries_a_bounded_number_of_requests(self) -> None:
+        """The ids that a connection remembers must not grow without a bound."""
+        _, address, _ = await self.serve(b"HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        pool = Pool(asyncio.get_running_loop(), address)
+        with mock.patch("otterreach.proxy.pools.MAX_REQUESTS", 2):
+            for n in range(5):
+                await self.exchange(pool, outbound(ident=b"q%d" % n)).run()
+        self.assertEqual((pool.opened, [c.use_count for c in pool.idle]), (3, [1]))
+        pool.close()
+
     async def test_a_dead_port_has_not_run_it(self) -> None:
         with socket.socket() as sock:
             sock.bind(("127.0.0.1", 0))
@@ -137,11 +163,12 @@
 
     async def test_an_idle_connection_that_the_server_has_ended_is_not_used(self) -> None:
         _, address, got = await self.serve(
-            b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n" + SEAL + b"Content-Length: 0\r\n\r\n", close=True
+            b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + SEAL + b"Content-Length: 0\r\n\r\n", close=True
         )
         pool = Pool(asyncio.get_running_loop(), address)
-        for _ in range(3):
-            self.assertEqual((await self.exchange(pool).run()).execution, Execution.ANSWERED)
+        for ident in (b"q1", b"q2", b"q3"):
+            outcome = await self.exchange(pool, outbound(ident=ident)).run()
+            self.assertEqual(outcome.execution, Execution.ANSWERED)
         self.assertEqual((pool.opened, len(got)), (3, 3))
 
     async def test_a_client_that_has_gone_is_noticed_before_its_end_is_read(self) -> None:
