Proxy: a request that is partly sent may have run

What callers saw: a mutating request with a body of 24 MB ran at a second server after the first one had crashed in the middle of an early answer (TWICE), and the client got the second answer.

Cause: an attempt that ended with part of the request unwritten counted as not executed, whatever had come back by then. A server may begin, and answer, before it has read a long body, so unwritten bytes prove nothing.

The new tests failed before: an attempt whose early answer was cut at any of five places, one cut without an answer, and one that timed out half written were NOT_EXECUTED; so were the new cases of the generated test of hostile servers.

Change: an attempt without a complete answer is not executed only if the transport refused its first write, so that no byte left. Such an attempt does not count among the servers that the request was sent to; one that is partly sent does now.

test_a_partly_sent_request_has_not_run stated the old premise. It is replaced by one that demands the opposite at the same server, and by one that a request of which nothing was sent has not run.

--- a/otterreach/proxy/exchange.py
+++ b/otterreach/proxy/exchange.py
@@ -175,15 +175,8 @@
 
     def give_up(self, reason: str, timed_out: bool = False) -> None:
         """End the attempt without waiting for the rest of the answer; no effect before a connection is acquired."""
-        if self._done.done():
-            return
-        has_unsent_data = self._connection is not None and self._connection.has_unsent_data
-        if not self._connection:
-            return
-        execution = Execution.NOT_EXECUTED if has_unsent_data else Execution.MAY_HAVE_EXECUTED
-        self._end(
-            Outcome(execution, reason, self._status, self._headers, sent=not has_unsent_data, timed_out=timed_out)
-        )
+        if self._connection and not self._done.done():
+            self._fail(reason, timed_out)
 
     def _drop(self) -> None:
         """Release the parser and close a connection that is still in use, discarding its unsent data."""
@@ -222,21 +215,23 @@
         elif self._parser.broken:
             self._fail("broken_answer")
 
-    def on_connection_lost(self, has_unsent_data: bool) -> None:
+    def on_connection_lost(self) -> None:
         """End the exchange after the loss of its connection."""
-        connection = self._connection
-        self._connection = None
-        if not self._done.done():
-            execution = Execution.NOT_EXECUTED if has_unsent_data else Execution.MAY_HAVE_EXECUTED
-            is_reused = connection is not None and connection.use_count > 1 and not self._status
-            reason = "forgotten" if is_reused and self.loop.time() - self.sent_at < STALE_CONNECTION_S else "closed"
-            self._end(Outcome(execution, reason, self._status, self._headers, sent=not has_unsent_data))
+        if self._connection and not self._done.done():
+            is_reused = self._connection.use_count > 1 and not self._status
+            is_stale = is_reused and self.loop.time() - self.sent_at < STALE_CONNECTION_S
+            self._fail("forgotten" if is_stale else "closed")
+
+    def _fail(self, reason: str, timed_out: bool = False) -> None:
+        """End the exchange without a complete answer.
 
-    def _fail(self, reason: str) -> None:
+        A server may begin before it has read the whole request, so unsent data proves nothing: the request may have
+        been executed unless no byte of it was sent.
+        """
         assert self._connection
-        has_unsent_data = self._connection.has_unsent_data
-        execution = Execution.NOT_EXECUTED if has_unsent_data else Execution.MAY_HAVE_EXECUTED
-        self._end(Outcome(execution, reason, self._status, self._headers, sent=True))
+        sent = self._connection.has_sent_data
+        execution = Execution.MAY_HAVE_EXECUTED if sent else Execution.NOT_EXECUTED
+        self._end(Outcome(execution, reason, self._status, self._headers, sent=sent, timed_out=timed_out))
 
     def _head(self, status: int, headers: Headers) -> None:
         """Process the head of an answer.
--- a/otterreach/proxy/pools.py
+++ b/otterreach/proxy/pools.py
@@ -44,8 +44,8 @@
     def on_data(self, data: bytes) -> None:
         """Process bytes received on the connection."""
 
-    def on_connection_lost(self, has_unsent_data: bool) -> None:
-        """Handle the loss of the connection. `has_unsent_data`: part of the request has not left this machine."""
+    def on_connection_lost(self) -> None:
+        """Handle the loss of the connection."""
 
 
 class State(Enum):
@@ -109,7 +109,7 @@
         user = self._user
         self._user = None
         if user:
-            user.on_connection_lost(self.has_unsent_data)
+            user.on_connection_lost()
 
     def data_received(self, data: bytes) -> None:
         """Pass received bytes to the user; close the connection if it has none."""
--- a/otterreach/sidecar/transport.py
+++ b/otterreach/sidecar/transport.py
@@ -30,7 +30,8 @@
     """A connection to a server."""
 
     def __init__(self) -> None:
-        self.has_unsent_data = False  # True while part of the request is buffered: the server can't have executed it
+        self.has_unsent_data = False  # True while part of the request is buffered
+        self.has_sent_data = False  # True once the kernel may have taken part of the request
         self.idle_since = 0.0  # monotonic time in seconds
         self._transport: asyncio.Transport | None = None
         self._poll: select.poll | None = None  # None if the transport has no socket
@@ -81,6 +82,8 @@
         self._body = body
         self._written = 0
         self._transport.write(head)
+        # A transport that is closing sends nothing more, and a write that fails immediately closes it.
+        self.has_sent_data = not self._transport.is_closing()
         self._write_body()
 
     def _write_body(self) -> None:
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import unittest
+from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 from unittest import mock
@@ -48,8 +49,15 @@
         self.addCleanup(server.close)
         return server, (host, port), got
 
-    def exchange(self, pool: Pool, request: Outbound | None = None, within_s: float = 5.0, **more: Any) -> Exchange:
-        return Exchange(pool, "i-1", request or outbound(), pool.loop.time() + within_s, lambda: True, **more)
+    def exchange(
+        self,
+        pool: Pool,
+        request: Outbound | None = None,
+        within_s: float = 5.0,
+        may_write: Callable[[], bool] = lambda: True,
+        **more: Any,
+    ) -> Exchange:
+        return Exchange(pool, "i-1", request or outbound(), pool.loop.time() + within_s, may_write, **more)
 
     async def test_an_answer_and_a_kept_connection(self) -> None:
         head = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + SEAL
@@ -98,15 +106,55 @@
         outcome = await self.exchange(Pool(asyncio.get_running_loop(), address)).run()
         self.assertEqual(outcome.execution, Execution.MAY_HAVE_EXECUTED)
 
-    async def test_a_partly_sent_request_has_not_run(self) -> None:
-        """The server does not read, so part of the request is still unsent at the time-out."""
+    async def test_a_partly_sent_request_may_have_run(self) -> None:
+        """TWICE: a server may begin before it has read the whole body, and go dark before it answers."""
         with socket.socket() as listener:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             listener.bind(("127.0.0.1", 0))
             listener.listen()
             pool = Pool(asyncio.get_running_loop(), listener.getsockname())
             outcome = await self.exchange(pool, outbound(b"x" * 32_000_000), 0.1).run()
-        self.assertEqual((outcome.execution, outcome.timed_out), (Execution.NOT_EXECUTED, True))
+        self.assertEqual((outcome.execution, outcome.timed_out), (Execution.MAY_HAVE_EXECUTED, True))
+        self.assertTrue(outcome.sent)
+
+    async def test_a_request_that_breaks_off_unsent_has_not_run(self) -> None:
+        """The server has reset the idle connection, so the write fails and no byte of the request leaves."""
+        _, address, got = await self.serve(b"")
+        pool = Pool(asyncio.get_running_loop(), address)
+        connection = await pool.acquire(1.0, b"q")
+        assert connection is not None
+        connection.release()
+
+        def reset() -> bool:
+            connection.discard()
+            return True
+
+        outcome = await self.exchange(pool, may_write=reset).run()
+        self.assertEqual((outcome.execution, outcome.sent, got), (Execution.NOT_EXECUTED, False, []))
+
+    async def broken_off(self, answer: bytes, reset: bool) -> Outcome:
+        """Return the outcome at a server that answers in part before it has read the body, and then ends."""
+
+        async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1000)
+            writer.write(answer)
+            await asyncio.sleep(0.05)
+            if reset:
+                writer.transport.abort()
+            writer.close()
+
+        server = await asyncio.start_server(handle, "127.0.0.1", 0, limit=4096)
+        self.addCleanup(server.close)
+        pool = Pool(asyncio.get_running_loop(), server.sockets[0].getsockname())
+        return await self.exchange(pool, outbound(b"x" * 64_000_000), LONG_BODY_S).run()
+
+    async def test_an_early_answer_that_breaks_off_may_have_run(self) -> None:
+        """TWICE: the server began before it had read the body, and crashed while it answered."""
+        head = b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n" + SEAL + b"Content-Length: 800\r\n\r\n"
+        for answer in (b"", head[:20], head, head + b"x" * 400, b"\x16\x03\x01 junk\r\n\r\n"):
+            for reset in (True, False):
+                outcome = await self.broken_off(answer, reset)
+                self.assertEqual((outcome.execution, outcome.sent), (Execution.MAY_HAVE_EXECUTED, True), answer)
 
     async def test_unsent_kernel_data_of_a_cancelled_request_never_arrives(self) -> None:
         """The server reads only after the attempt was cancelled, as after a network partition."""
--- a/tests/runtime/test_hostile_peers.py
+++ b/tests/runtime/test_hostile_peers.py
@@ -65,9 +65,13 @@
     PLAIN_503 = auto()  # executed, and answers 503 without Not-Run
     EARLY_FAILS = auto()  # executed, and answers before a body in several segments is complete
     EARLY_REJECTED = auto()
+    EARLY_TRUNCATED = (
+        auto()
+    )  # executed before the body is complete; the answer is truncated at any byte
 
 
-EARLY = (ServerBehavior.EARLY_FAILS, ServerBehavior.EARLY_REJECTED)
+EARLY = (ServerBehavior.EARLY_FAILS, ServerBehavior.EARLY_REJECTED, ServerBehavior.EARLY_TRUNCATED)
+TRUNCATED = (ServerBehavior.TRUNCATED_ANSWER, ServerBehavior.RESET_ANSWER, ServerBehavior.EARLY_TRUNCATED)
 NOT_EXECUTED = (
     ServerBehavior.RESET_NOT_EXECUTED,
     ServerBehavior.CLOSED_NOT_EXECUTED,
@@ -236,11 +240,11 @@
             call.answer(200, b"unstamped", b"")
         elif behavior is ServerBehavior.ENCODED:
             write(self.whole(call, head=b"Content-Encoding: gzip\r\n"))
-        elif behavior in (ServerBehavior.TRUNCATED_ANSWER, ServerBehavior.RESET_ANSWER):
+        elif behavior in TRUNCATED:
             answer = self.whole(call)
             write(answer[: act.at % len(answer)])
             await asyncio.sleep(act.delay_s)
-            self.end(call, reset=behavior is ServerBehavior.RESET_ANSWER)
+            self.end(call, reset=behavior is not ServerBehavior.TRUNCATED_ANSWER)
         elif behavior in (ServerBehavior.UNFRAMED, ServerBehavior.UNFRAMED_RESET):
             answer = self.whole(call, framed=False)
             write(answer[: -act.at % 9] if behavior is ServerBehavior.UNFRAMED_RESET else answer)
@@ -317,6 +321,8 @@
     st.sampled_from([None, None, 0, 120, 5000]),
 )
 @example([Act(ServerBehavior.EARLY_FAILS, 0, 0.0)], [[Ask("mutating", 70_000, None, 0.0)]], 5000)
+@example([Act(ServerBehavior.EARLY_TRUNCATED, 0, 0.0)], [[Ask("mutating", 70_000, None, 0.0)]], 5000)
+@example([Act(ServerBehavior.EARLY_TRUNCATED, 120, 0.0)], [[Ask("mutating", 70_000, None, 0.0)]], 5000)
 def test_requests_of_clients_at_hostile_servers(script: list[Act], lines: list[list[Ask]], room: int | None) -> None:
     async def main() -> None:
         world = HostileWorld(kinds(), room)
