Proxy: an early answer without an id doesn't prove that nothing ran

Cause: an answer without Request-Id that came before the request was written whole counted as a proof that the request has not run, whatever its status. Only Not-Run and 421 say that; a server that fails early may have begun, as one that answers early with an id has.

Change: such an attempt may have been executed. With Not-Run it still has not.

The test failed before for 408, 413, 500 and 503 (it asserted the old premise for 408 alone).

--- a/otterreach/proxy/exchange.py
+++ b/otterreach/proxy/exchange.py
@@ -268,8 +268,8 @@
         not_run = b"not-run" in headers or status == HTTPStatus.MISDIRECTED_REQUEST
         if connection.has_unsent_data and not not_run and b"request-id" not in headers:
             # A server may answer before it has read a long body; such an answer carries the request's id. An answer
-            # without an id concerns the connection: the server has not received the request.
-            self._end(Outcome(Execution.NOT_EXECUTED, "early_answer", sent=True))
+            # without an id concerns the connection, and doesn't tell whether the server has begun.
+            self._end(Outcome(Execution.MAY_HAVE_EXECUTED, "early_answer", sent=True))
             return
         # A connection is not reused after a failure: a duplicate of the failure would be taken for the answer to the
         # next attempt, which has the same id.
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -205,9 +205,16 @@
         outcome, pool, _ = await self.early(b"HTTP/1.1 503 X\r\nRequest-Id: q\r\nNot-Run: 1\r\n")
         self.assertEqual((outcome.execution, outcome.status, pool.idle), (Execution.NOT_EXECUTED, 503, []))
 
-    async def test_an_early_answer_without_an_id_answers_something_else(self) -> None:
-        outcome, pool, _ = await self.early(b"HTTP/1.1 408 X\r\n")
-        self.assertEqual((outcome.execution, outcome.reason, pool.idle), (Execution.NOT_EXECUTED, "early_answer", []))
+    async def test_an_early_answer_without_an_id_does_not_tell_whether_it_ran(self) -> None:
+        """TWICE, REFUSED: only Not-Run and 421 say that the request has not run."""
+        for status in (408, 413, 500, 503):
+            outcome, pool, _ = await self.early(b"HTTP/1.1 %d X\r\n" % status)
+            self.assertEqual((outcome.execution, outcome.reason), (Execution.MAY_HAVE_EXECUTED, "early_answer"), status)
+            self.assertEqual(pool.idle, [])
+
+    async def test_an_early_rejection_without_an_id_has_not_run(self) -> None:
+        outcome, pool, _ = await self.early(b"HTTP/1.1 503 X\r\nNot-Run: 1\r\n")
+        self.assertEqual((outcome.execution, outcome.status, pool.idle), (Execution.NOT_EXECUTED, 503, []))
 
     async def test_an_idle_connection_that_the_server_has_ended_is_not_used(self) -> None:
         _, address, got = await self.serve(
--- a/tests/runtime/test_hostile_peers.py
+++ b/tests/runtime/test_hostile_peers.py
@@ -65,9 +65,7 @@
     PLAIN_503 = auto()  # executed, and answers 503 without Not-Run
     EARLY_FAILS = auto()  # executed, and answers before a body in several segments is complete
     EARLY_REJECTED = auto()
-    EARLY_TRUNCATED = (
-        auto()
-    )  # executed before the body is complete; the answer is truncated at any byte
+    EARLY_TRUNCATED = auto()  # executed before the body is complete; the answer is truncated at any byte
 
 
 EARLY = (ServerBehavior.EARLY_FAILS, ServerBehavior.EARLY_REJECTED, ServerBehavior.EARLY_TRUNCATED)
