--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 import unittest
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from typing import Any
 from unittest import mock
@@ -30,8 +30,30 @@
     return request.partition(b"request-id: ")[2].partition(b"\r\n")[0]
 
 
+Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
 class Sockets(unittest.IsolatedAsyncioTestCase):
-    async def serve(self, answer: bytes, close: bool = False) -> tuple[asyncio.Server, tuple[str, int], list[bytes]]:
+    async def start(self, handle: Handler, limit: int = 65536) -> tuple[str, int]:
+        """Start a server, which ends with the test, and return its address."""
+        writers: list[asyncio.StreamWriter] = []
+
+        async def tracked(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writers.append(writer)
+            await handle(reader, writer)
+
+        async def stop() -> None:
+            server.close()
+            for writer in writers:
+                writer.transport.abort()
+            await asyncio.sleep(0.01)  # the handlers end
+
+        server = await asyncio.start_server(tracked, "127.0.0.1", 0, limit=limit)
+        self.addAsyncCleanup(stop)
+        host, port = server.sockets[0].getsockname()
+        return host, port
+
+    async def serve(self, answer: bytes, close: bool = False) -> tuple[tuple[str, int], list[bytes]]:
         """Start a server that answers each request alike; ID in the answer stands for the id of its request."""
         got: list[bytes] = []
 
@@ -44,10 +66,7 @@
                     break
             writer.close()
 
-        server = await asyncio.start_server(handle, "127.0.0.1", 0)
-        host, port = server.sockets[0].getsockname()
-        self.addCleanup(server.close)
-        return server, (host, port), got
+        return await self.start(handle), got
 
     def exchange(
         self,
@@ -61,7 +80,7 @@
 
     async def test_an_answer_and_a_kept_connection(self) -> None:
         head = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + SEAL
-        _, address, got = await self.serve(head + b"Content-Length: 2\r\n\r\nhi")
+        address, got = await self.serve(head + b"Content-Length: 2\r\n\r\nhi")
         pool = Pool(asyncio.get_running_loop(), address)
         for ident in (b"q1", b"q2"):
             outcome = await self.exchange(pool, outbound(ident=ident)).run()
@@ -72,7 +91,7 @@
 
     async def test_a_connection_carries_each_id_once(self) -> None:
         """TWICE: a late copy of the first answer would be taken for the answer to the second attempt."""
-        _, address, _ = await self.serve(b"HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        address, _ = await self.serve(b"HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
         pool = Pool(asyncio.get_running_loop(), address)
         for ident in (b"q1", b"q1", b"q2", b"q2"):
             await self.exchange(pool, outbound(ident=ident)).run()
@@ -81,7 +100,7 @@
 
     async def test_a_connection_carries_a_bounded_number_of_requests(self) -> None:
         """The ids that a connection remembers must not grow without a bound."""
-        _, address, _ = await self.serve(b"HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        address, _ = await self.serve(b"HTTP/1.1 503 X\r\nRequest-Id: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
         pool = Pool(asyncio.get_running_loop(), address)
         with mock.patch("otterreach.proxy.pools.MAX_REQUESTS", 2):
             for n in range(5):
@@ -97,12 +116,12 @@
         self.assertEqual((outcome.execution, outcome.sent), (Execution.NOT_EXECUTED, False))
 
     async def test_closed_without_an_answer_may_have_run(self) -> None:
-        _, address, _ = await self.serve(b"", close=True)
+        address, _ = await self.serve(b"", close=True)
         outcome = await self.exchange(Pool(asyncio.get_running_loop(), address)).run()
         self.assertEqual((outcome.execution, outcome.reason), (Execution.MAY_HAVE_EXECUTED, "closed"))
 
     async def test_a_body_that_only_the_end_would_end_is_no_answer(self) -> None:
-        _, address, _ = await self.serve(b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n" + SEAL + b"\r\nhalf", close=True)
+        address, _ = await self.serve(b"HTTP/1.1 200 OK\r\nRequest-Id: q\r\n" + SEAL + b"\r\nhalf", close=True)
         outcome = await self.exchange(Pool(asyncio.get_running_loop(), address)).run()
         self.assertEqual(outcome.execution, Execution.MAY_HAVE_EXECUTED)
 
@@ -119,7 +138,7 @@
 
     async def test_a_request_that_breaks_off_unsent_has_not_run(self) -> None:
         """The server has reset the idle connection, so the write fails and no byte of the request leaves."""
-        _, address, got = await self.serve(b"")
+        address, got = await self.serve(b"")
         pool = Pool(asyncio.get_running_loop(), address)
         connection = await pool.acquire(1.0, b"q")
         assert connection is not None
@@ -143,9 +162,7 @@
                 writer.transport.abort()
             writer.close()
 
-        server = await asyncio.start_server(handle, "127.0.0.1", 0, limit=4096)
-        self.addCleanup(server.close)
-        pool = Pool(asyncio.get_running_loop(), server.sockets[0].getsockname())
+        pool = Pool(asyncio.get_running_loop(), await self.start(handle, limit=4096))
         return await self.exchange(pool, outbound(b"x" * 64_000_000), LONG_BODY_S).run()
 
     async def test_an_early_answer_that_breaks_off_may_have_run(self) -> None:
@@ -185,9 +202,7 @@
             writer.close()
             ended.set()
 
-        server = await asyncio.start_server(handle, "127.0.0.1", 0, limit=4096)
-        self.addCleanup(server.close)
-        pool = Pool(asyncio.get_running_loop(), server.sockets[0].getsockname())
+        pool = Pool(asyncio.get_running_loop(), await self.start(handle, limit=4096))
         outcome = await self.exchange(pool, outbound(b"x" * 64_000_000), LONG_BODY_S).run()
         await ended.wait()
         return outcome, pool, bytes(got)
@@ -217,7 +232,7 @@
         self.assertEqual((outcome.execution, outcome.status, pool.idle), (Execution.NOT_EXECUTED, 503, []))
 
     async def test_an_idle_connection_that_the_server_has_ended_is_not_used(self) -> None:
-        _, address, got = await self.serve(
+        address, got = await self.serve(
             b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + SEAL + b"Content-Length: 0\r\n\r\n", close=True
         )
         pool = Pool(asyncio.get_running_loop(), address)
@@ -267,7 +282,7 @@
         await ingress.shut_down(0.0, 1.0)
 
     async def test_nothing_new_from_a_closed_pool(self) -> None:
-        _, address, got = await self.serve(b"")
+        address, got = await self.serve(b"")
         pool = Pool(asyncio.get_running_loop(), address)
         pool.close()
         outcome = await self.exchange(pool).run()
