Proxy: late copies of answers to earlier requests are skipped

What callers saw: a mutating request was answered 502, though its own answer followed the copy of another one.

Cause: an answer with the id of another request ended the attempt, which may have run.

Change: an answer with an id that the connection has carried before is skipped, and the answer to the request is waited for; at most 8 for one attempt. An answer with an id that the connection has not carried, or with none, still ends the attempt. skipped_answers_total counts them.

--- a/otterreach/proxy/exchange.py
+++ b/otterreach/proxy/exchange.py
@@ -58,6 +58,7 @@
     sent: bool = False  # at least part of the request was written to a server
     timed_out: bool = False
     took_s: float = 0.0  # from writing the request to the outcome
+    skipped_answers: int = 0  # answers to other requests that came in place of this request's
 
     @property
     def success(self) -> bool:
@@ -134,7 +135,6 @@
         self._body_chunks: list[bytes] = []
         self._status = 0
         self._headers: Headers = {}
-        self._is_mismatched = False
         self._connection: Connection | None = None
         self._parser: http1.ResponseParser | None = None
         self._done: asyncio.Future[Outcome] = self.loop.create_future()
@@ -164,7 +164,9 @@
             connection.release()
             return Outcome(Execution.NOT_EXECUTED, "unwanted")
         self._connection = connection
-        self._parser = http1.ResponseParser(self._body, self._head, BOUNDS, require_framing=True)
+        self._parser = http1.ResponseParser(
+            self._body, self._head, BOUNDS, require_framing=True, is_expected=self._is_expected
+        )
         self.sent_at = self.loop.time()
         connection.start(self, request_id, self.outbound.encode_head(self.server, left, self.extra), self.outbound.body)
         timer = self.loop.call_at(self.deadline, self.give_up, "timeout", True)
@@ -196,6 +198,7 @@
             connection.discard()
         if not self._done.done():
             outcome.took_s = self.loop.time() - (self.sent_at or self.started)
+            outcome.skipped_answers = self._parser.skipped if self._parser else 0
             self._done.set_result(outcome)
 
     def on_data(self, data: bytes) -> None:
@@ -206,9 +209,7 @@
         response = self._parser.feed(data)
         if self._done.done():  # a callback has ended the exchange
             return
-        if self._is_mismatched:
-            self._fail("foreign_answer")
-        elif self._status and self.outbound.method == b"HEAD":  # no body follows, whatever Content-Length says
+        if self._status and self.outbound.method == b"HEAD":  # no body follows, whatever Content-Length says
             self._answered(http1.Response(self._status, self._headers, b"", False))
         elif response:
             self._answered(response)
@@ -233,16 +234,25 @@
         execution = Execution.MAY_HAVE_EXECUTED if sent else Execution.NOT_EXECUTED
         self._end(Outcome(execution, reason, self._status, self._headers, sent=sent, timed_out=timed_out))
 
+    def _is_expected(self, headers: Headers) -> bool:
+        """Return False for a late copy of the answer to an earlier request of the connection, which is skipped."""
+        ident = headers.get(b"request-id")
+        if ident is None or ident == self.outbound.request_id or self._connection is None:
+            return True
+        return not self._connection.has_carried(ident)
+
     def _head(self, status: int, headers: Headers) -> None:
-        """Process the head of an answer.
+        """Process the head of an answer that is not a copy of an earlier one.
 
-        A surplus answer to an earlier request may arrive in place of this request's answer. It is recognized by its
-        Request-Id; an answer without one is accepted only on a connection that has carried no other request.
+        An answer without a Request-Id is accepted only on a connection that has carried no other request. Otherwise
+        nothing tells whose answer it is, nor whether another one will follow.
         """
+        if self._done.done():
+            return
         ident = headers.get(b"request-id")
-        first = self._connection is not None and self._connection.use_count == 1
-        if ident != self.outbound.request_id and (ident is not None or not first):
-            self._is_mismatched = True
+        is_first = self._connection is not None and self._connection.use_count == 1
+        if ident != self.outbound.request_id and (ident is not None or not is_first):
+            self._fail("foreign_answer")
             return
         self._status = status
         self._headers = headers
@@ -252,7 +262,7 @@
             self._on_head(status, headers)
 
     def _body(self, data: bytes) -> None:
-        if self._is_mismatched or self._done.done():
+        if self._done.done():
             return
         if self._on_body and 200 <= self._status < 300:
             self._on_body(data)
--- a/otterreach/proxy/figures.py
+++ b/otterreach/proxy/figures.py
@@ -38,6 +38,8 @@
     yield MetricSample("server_connections", "Open connections to model servers.", open_now)
     for outcome, count in sorted(proxy.fleet.outcomes.items()):
         yield MetricSample("attempts_total", "Attempts at model servers.", count, {"outcome": outcome}, COUNTER)
+    skipped = proxy.fleet.skipped_answers
+    yield MetricSample("skipped_answers_total", "Late copies of answers to other requests.", skipped, kind=COUNTER)
 
 
 def _item_metrics(proxy: Proxy) -> Iterable[MetricSample]:
--- a/otterreach/proxy/fleet.py
+++ b/otterreach/proxy/fleet.py
@@ -89,6 +89,7 @@
         self.draw = Draw(random)
         self.config = Configuration()
         self.outcomes: Counter[str] = Counter()  # attempts by reason or outcome
+        self.skipped_answers = 0  # to other requests, in place of the answer to an attempt
         self.servers: dict[str, Server] = {}
         self.runners = 1  # number of proxies that run items
         self.on_change: list[Callable[[], None]] = []  # called after each change
@@ -241,6 +242,7 @@
         finally:
             server.estimate.record_ended()
         self.outcomes[outcome.reason or outcome.execution.name.lower()] += 1
+        self.skipped_answers += outcome.skipped_answers
         server.estimate.record_reported_load(outcome.headers.get(b"server-load"), self.loop.time())
         if outcome.execution is Execution.NOT_EXECUTED and outcome.reason == "wrong_server":
             self._record_misdirected(server, outcome)
--- a/otterreach/sidecar/http1.py
+++ b/otterreach/sidecar/http1.py
@@ -13,6 +13,7 @@
 from otterreach.sidecar.http1_message import Bounds as Bounds  # part of the parsers' interface
 
 MAX_ANSWER = 16 * MAX_BODY  # valid responses of 5 times MAX_BODY occur; the limit bounds the memory
+MAX_SKIPPED = 8  # responses to other requests before the one that is expected; bounds the work for endless ones
 BODILESS = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
 PHRASES = {status.value: status.phrase.encode() for status in HTTPStatus}
 
@@ -163,6 +164,8 @@
     `on_body` receives the parts of the body as they arrive, in place of collecting them (as for discovery's watch).
     `on_head` is called with the status and the headers of the response. `require_framing`: a response without
     Content-Length or chunked encoding, whose body would end with the connection, is broken, even with `on_body`.
+    `is_expected`: whether a response with these headers belongs to the request; others are skipped, up to
+    MAX_SKIPPED, and the next one broken.
     """
 
     def __init__(
@@ -171,14 +174,18 @@
         on_head: Callable[[int, dict[bytes, bytes]], None] | None = None,
         bounds: Bounds = ANSWER_BOUNDS,
         require_framing: bool = False,
+        is_expected: Callable[[dict[bytes, bytes]], bool] = lambda _: True,
     ) -> None:
         self.response: Response | None = None
+        self.skipped = 0  # complete or begun responses that were not expected
         self.status = 0  # 0 until the head is complete
         self.broken = False
         self._on_body = on_body
         self._on_head = on_head
         self._bounds = bounds
         self._require_framing = require_framing
+        self._is_expected = is_expected
+        self._is_skipping = False
         self._message = Message(bounds)
         self._parser: httptools.HttpResponseParser | None = httptools.HttpResponseParser(self)
 
@@ -189,12 +196,12 @@
     def feed(self, data: bytes) -> Response | None:
         """Parse bytes and return the response once it is complete."""
         if self._parser and not self.broken:
+            # Interim responses (1xx) and the final head share one limit, since either may be endless.
+            self._message.raw_size += len(data)
             try:
                 self._parser.feed_data(data)
             except (httptools.HttpParserError, httptools.HttpParserUpgrade):
                 self._mark_broken()
-            # Interim responses (1xx) and the final head share one limit, since either may be endless.
-            self._message.raw_size += len(data)
             if self.response is None and self._message.too_large and not (self._on_body and self.status):
                 self.broken = True
         return None if self.broken else self.response
@@ -239,17 +246,27 @@
             self.broken = self.broken or message.ambiguous or not message.framed and self._needs_framing
         if self._on_body is None:
             self.broken = self.broken or message.length > message.bounds.body
-        if self._on_head and not self.broken:
+        if self.broken:
+            return
+        if not self._is_expected(message.headers):
+            self._skip()
+        elif self._on_head:
             self._on_head(self.status, message.headers)
 
+    def _skip(self) -> None:
+        """Skip the response whose head is complete."""
+        self.skipped += 1
+        self._is_skipping = True
+        self.broken = self.skipped > MAX_SKIPPED
+
     @property
     def _needs_framing(self) -> bool:
         return self.status not in BODILESS if self._require_framing else self.status == HTTPStatus.OK
 
     def on_body(self, data: bytes) -> None:
         """Add a part of the body (callback of httptools)."""
-        if self.response is not None:
-            return  # the data belongs to another response that follows this one
+        if self.response is not None or self._is_skipping:
+            return  # the data belongs to another response, before or after this one
         if self._on_body:
             self._on_body(data)
         else:
@@ -262,10 +279,10 @@
         if self.status == HTTPStatus.SWITCHING_PROTOCOLS:
             self.broken = True
         elif self.status < HTTPStatus.OK:  # interim response, such as 100 Continue
-            self.status = 0
-            raw_size = self._message.raw_size
-            self._message = Message(self._bounds)
-            self._message.raw_size = raw_size
+            self._await_next(self._message.raw_size)
+        elif self._is_skipping:
+            self._is_skipping = False
+            self._await_next(0)
         elif not self.broken:
             message = self._message
             # Bytes above the size limit were dropped: the truncated body must not pass for a complete one.
@@ -274,6 +291,12 @@
             keep = self._parser.should_keep_alive()
             self.response = None if self.broken else Response(self.status, message.headers, body, keep)
 
+    def _await_next(self, raw_size: int) -> None:
+        """Prepare for the response that follows one which is not the final response to the request."""
+        self.status = 0
+        self._message = Message(self._bounds)
+        self._message.raw_size = raw_size
+
 
 def encode_request(request: Request, host: bytes, headers: dict[bytes, bytes]) -> bytes:
     """Encode a request as one byte string, so that a small one is sent in a single packet."""
--- a/tests/proxy/test_late_answers.py
+++ b/tests/proxy/test_late_answers.py
@@ -78,6 +78,34 @@
     asyncio.run(main())
 
 
+EARLIER = [Served(), Served(404), Served(500), TurnedAway(503)]
+
+
+@pytest.mark.parametrize("kind", ROUTES)
+@pytest.mark.parametrize("reaction", EARLIER, ids=str)
+def test_a_late_copy_of_the_answer_to_another_request_is_skipped(kind: str, reaction: Reaction) -> None:
+    """Clients of mutating routes got 502 although their own answers followed the copies."""
+
+    def script(request: http1.Request, earlier: int) -> Reaction:
+        return Served() if earlier or request.headers[b"request-id"] != b"q1" else reaction
+
+    async def main() -> None:
+        async with running(script) as (server, port):
+            for ident in ("q1", "q2", "q3"):
+                answer = await ask(port, ROUTES[kind]["prefix"] + "x", ident)
+                assert answer is not None
+                if ident != "q1":
+                    assert (answer.status, answer.body, answer.headers[b"request-id"]) == (
+                        200,
+                        body_of(kind),
+                        ident.encode(),
+                    )
+                    assert server.runs[ident.encode()] == 1
+            assert server.copies
+
+    asyncio.run(main())
+
+
 class LateCopies:
     """A script of a fake server: seals each answer anew, and repeats the last answer of a connection late."""
 
--- a/tests/sidecar/test_http1.py
+++ b/tests/sidecar/test_http1.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 from itertools import pairwise
+from typing import Any
 
 import pytest
 from hypothesis import given, settings, strategies
 
-from otterreach.sidecar.http1 import Bounds, RequestParser, ResponseParser, encode_response, parse_load
+from otterreach.sidecar.http1 import MAX_SKIPPED, Bounds, RequestParser, ResponseParser, encode_response, parse_load
 
 TWO = (
     b"POST /once/1?x=%20 HTTP/1.1\r\nX-Trace-Id: a\r\nContent-Length: 3\r\n\r\nabc"
@@ -121,3 +122,36 @@
     over = RequestParser(bounds=BOUNDS)
     over.feed(CHUNKED + b"7d0\r\n" + b"x" * 2000)
     assert (over.error, over.buffered_bytes) == (413, 0)
+
+
+COPY = b"HTTP/1.1 503 X\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nnot\r\n0\r\n\r\n"
+OWN = b"HTTP/1.1 200 X\r\nX-Id: 2\r\nContent-Length: 3\r\n\r\nown"
+
+
+def skipping_parser(**more: Any) -> ResponseParser:
+    return ResponseParser(is_expected=lambda headers: headers.get(b"x-id") == b"2", **more)
+
+
+@pytest.mark.parametrize("size", [1, 7, 10_000])
+@pytest.mark.parametrize("copies", [0, 1, MAX_SKIPPED])
+def test_responses_to_other_requests_are_skipped(size: int, copies: int) -> None:
+    """MIXED: no byte of a late copy may reach the caller as part of the response that follows it."""
+    heads: list[int] = []
+    parts: list[bytes] = []
+    parser = skipping_parser(on_head=lambda status, _: heads.append(status), on_body=parts.append)
+    data = COPY * copies + OWN
+    responses = [parser.feed(data[n : n + size]) for n in range(0, len(data), size)]
+    assert (responses[-1] is not None, parser.broken, parser.skipped) == (True, False, copies)
+    assert (heads, b"".join(parts)) == ([200], b"own")
+
+
+def test_endless_responses_to_other_requests_are_broken() -> None:
+    parser = skipping_parser()
+    assert parser.feed(COPY * (MAX_SKIPPED + 1) + OWN) is None
+    assert parser.broken
+
+
+def test_a_skipped_response_of_any_length_does_not_count_against_the_next_one() -> None:
+    long = b"HTTP/1.1 200 X\r\nX-Id: 1\r\nContent-Length: 200000\r\n\r\n" + b"x" * 200_000
+    parser = skipping_parser(on_body=lambda _: None)
+    assert parser.feed(long + OWN) is not None
