Proxy: connections outlive failures; rejected requests wait before they connect

Cause: since a connection carries each id once, the retry of a rejected request at the same server opened a new connection at once, where it used to wait up to 20 ms for the one that had just become idle.

Change: a request waits for idle connections of that server to become usable, also if it has been on all of them, before a new one is opened. And a connection is kept after a 5xx without Not-Run: it used to be closed because a copy of the failure would have had the id of the next attempt, which can't come on that connection any more.

--- a/otterreach/proxy/exchange.py
+++ b/otterreach/proxy/exchange.py
@@ -281,9 +281,7 @@
             # without an id concerns the connection, and doesn't tell whether the server has begun.
             self._end(Outcome(Execution.MAY_HAVE_EXECUTED, "early_answer", sent=True))
             return
-        # A connection is not reused after a failure: a duplicate of the failure would be taken for the answer to the
-        # next attempt, which has the same id.
-        reusable = response.keep_alive and not connection.has_unsent_data and (not_run or status < 500)
+        reusable = response.keep_alive and not connection.has_unsent_data
         if not_run:
             reason = "wrong_server" if status == HTTPStatus.MISDIRECTED_REQUEST else "turned_away"
             self._end(Outcome(Execution.NOT_EXECUTED, reason, status, headers, body, sent=True), reusable)
--- a/otterreach/proxy/pools.py
+++ b/otterreach/proxy/pools.py
@@ -206,8 +206,9 @@
             connection = self._idle_connection(request_id, fresh_only)
             if connection:
                 return connection
-            recent = self.loop.time() - MIN_IDLE_S
-            too_recent = [c.idle_since for c in self.idle if c.idle_since > recent and not c.has_carried(request_id)]
+            # Also those that can't be used after the wait: a server that has just rejected the request gets it again
+            # no sooner, and waiting is cheaper than a new connection.
+            too_recent = [c.idle_since for c in self.idle if c.idle_since > self.loop.time() - MIN_IDLE_S]
             if not too_recent:
                 break
             wait = min(too_recent) + MIN_IDLE_S - self.loop.time()
--- a/tests/proxy/test_late_answers.py
+++ b/tests/proxy/test_late_answers.py
@@ -109,8 +109,9 @@
 class LateCopies:
     """A script of a fake server: seals each answer anew, and repeats the last answer of a connection late."""
 
-    def __init__(self, events: int = 0) -> None:
+    def __init__(self, events: int = 0, failures: int = 0) -> None:
         self.events = events  # of the text of an item; 0 for an answer without events
+        self.failures = failures  # so many answers are failures
         self.answers = 0
         self._last: dict[ServerEnd, bytes] = {}
 
@@ -124,6 +125,8 @@
         call.write(answer)
 
     def _encode(self, call: Call) -> bytes:
+        if self.answers <= self.failures:
+            return f"HTTP/1.1 500 X\r\nRequest-Id: {call.id}\r\nContent-Length: 0\r\n\r\n".encode()
         head = f"HTTP/1.1 200 X\r\nRequest-Id: {call.id}\r\nReply-Seal: s-{self.answers}\r\nWeight-Versions: 1\r\n"
         body = "".join(f"id: {n}\ndata: d{n}\n\n" for n in range(self.events))
         return f"{head}Content-Length: {len(body)}\r\n\r\n{body}".encode()
@@ -148,3 +151,22 @@
             await asyncio.sleep(0.1)
 
     virtual.run(main)
+
+
+@pytest.mark.parametrize("failing", ["text", "reward"])
+def test_a_late_copy_of_a_failure_is_not_another_failure(failing: str) -> None:
+    """MIXED: an item is errored only after `tries` failures of its own, and copies carry its id."""
+
+    async def main() -> None:
+        stage = Stage(tries=2)
+        await stage.begin()
+        text = LateCopies(events=3, failures=int(failing == "text"))
+        scorer = LateCopies(failures=int(failing == "reward"))
+        stage.server("i-1", text)
+        stage.world.server("i-2", scorer)
+        stage.runner.assign(assign([work(scorer="s1")]))
+        result = await stage.result()
+        assert (result.state, result.text, result.score) == ("done", text_of(3), f"s-{scorer.answers}")
+        assert text.answers + scorer.answers == 3
+
+    virtual.run(main)
--- a/tests/proxy/test_requests.py
+++ b/tests/proxy/test_requests.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from otterreach.proxy.ingress import Ingress
+from otterreach.proxy.pools import MIN_IDLE_S
 from otterreach.proxy.requests import Requests, decode_latin1, path_of
 from otterreach.proxy.streams import Streams
 from otterreach.runtime.configuration import Caps
@@ -321,6 +322,17 @@
             await asyncio.sleep(0.03)
         self.assertEqual(server.opened, 1)
 
+    @in_virtual_time
+    async def test_a_connection_is_reused_after_a_failure_of_the_server(self) -> None:
+        """Connections are expensive, and a copy of the failure would carry the id of the request that failed."""
+        world = World([route(kind="mutating")])
+        server = world.server("i-1", fail)
+        caller = FakeClient(ingress(world))
+        for n in range(4):
+            self.assertEqual((await caller.ask(ident=f"q{n}")).status, 500)
+            await asyncio.sleep(0.03)
+        self.assertEqual(server.opened, 1)
+
     @in_virtual_time
     async def test_waits_for_the_minimum_idle_time_rather_than_connect(self) -> None:
         world = World([route()])
@@ -330,6 +342,21 @@
         await caller.ask(ident="q2")
         self.assertEqual(server.opened, 1)
 
+    @in_virtual_time
+    async def test_a_rejected_request_waits_the_minimum_idle_time_before_it_connects(self) -> None:
+        """Without the wait, a full server is asked again at once, on a new connection each time."""
+        world = World([route()])
+        times: list[float] = []
+
+        async def reject_once(call: Call) -> None:
+            times.append(world.loop.time())
+            await (reject(call) if len(times) == 1 else serve(call))
+
+        server = world.server("i-1", reject_once)
+        self.assertEqual((await FakeClient(ingress(world)).ask()).status, 200)
+        self.assertGreaterEqual(times[1] - times[0], MIN_IDLE_S)
+        self.assertEqual(server.opened, 2)
+
     @in_virtual_time
     async def test_keep_alive_is_obeyed(self) -> None:
         world = World([route()])
