--- a/otterreach/loadtest/callers.py
+++ b/otterreach/loadtest/callers.py
@@ -8,10 +8,10 @@
 from typing import Any
 
 from otterreach.cli.caller import send_request
-from otterreach.loadtest.ground_truth import body_of
 from otterreach.loadtest.latency import Latencies
 from otterreach.loadtest.plan import HOST, Clients, configuration
 from otterreach.loadtest.scene import PlayContext
+from otterreach.loadtest.verify import check_success
 from otterreach.runtime.codes import Failure
 from otterreach.sidecar import http1
 
@@ -115,9 +115,8 @@
             return answer.code.name.lower()
         if not 200 <= answer.status < 300:
             return str(answer.status)
-        sealed = self.context.ground_truth.seals.get(answer.headers.get(b"reply-seal", b"").decode("latin-1"))
-        if sealed is None or sealed.request != ident or answer.body != body_of(ident, body):
-            self.faults.append(f"{self.row.route}: {ident} was answered with a body or seal that no server made for it")
+        if fault := check_success(ident, body, answer, self.context.ground_truth):
+            self.faults.append(f"{self.row.route}: {fault}")
             return "wrong"
         return ""
 
--- a/otterreach/loadtest/connection.py
+++ b/otterreach/loadtest/connection.py
@@ -23,6 +23,7 @@
     context: PlayContext
     spec: Service
     dark: bool
+    repeat_share: float
     connections: set[Connection]
 
     def on_request(self, connection: Connection, request: http1.Request) -> None:
@@ -40,6 +41,8 @@
         self.request: http1.Request | None = None
         self.on_dropped: Callable[[], None] | None = None  # called on a close before the response is complete
         self._queue: deque[http1.Request] = deque()
+        self._answer = bytearray()  # the bytes of the current answer
+        self._late_copy = b""  # of the previous answer; sent in the place of the next one
         self._parser = http1.RequestParser(bounds=http1.Bounds(body=MAX_BODY_BYTES, head=MAX_HEAD_BYTES))
         self._transport: asyncio.Transport | None = None
 
@@ -75,8 +78,15 @@
     def _next(self) -> None:
         if self.request is None and self._queue:
             self.request = self._queue.popleft()
+            self._send_late_copy()
             self.server.on_request(self, self.request)
 
+    def _send_late_copy(self) -> None:
+        if self._late_copy and self._transport and not self._transport.is_closing():
+            self.server.context.counts["late copies"] += 1
+            self._transport.write(self._late_copy)
+        self._late_copy = b""
+
     def pause(self, on: bool) -> None:
         """Pause or resume reading."""
         if self._transport and not self._transport.is_closing():
@@ -100,6 +110,8 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
     def _write(self, data: bytes) -> None:
+        if self.server.repeat_share:
+            self._answer += data
         if self._transport and not self._transport.is_closing():
             self._transport.write(data)
 
@@ -123,6 +135,9 @@
         self._done()
 
     def _done(self) -> None:
+        if self._answer and self.server.context.random.random() < self.server.repeat_share:
+            self._late_copy = bytes(self._answer)
+        self._answer.clear()
         self.request = None
         self.on_dropped = None
         self._next()
--- a/otterreach/loadtest/plan.py
+++ b/otterreach/loadtest/plan.py
@@ -111,10 +111,13 @@
 
 @dataclass
 class Fault(_Row):
-    """A fault of a machine (kill, wipe, freeze, restart) or of a server (crash, dark, slow, drain)."""
+    """A fault of a machine (kill, wipe, freeze, restart) or of a server (crash, dark, slow, drain, repeat).
+
+    `x`: for `slow`, the factor of the work time; for `repeat`, the share of the answers that are repeated late.
+    """
 
     at: float  # seconds after the start of traffic
-    kind: Literal["kill", "wipe", "freeze", "restart", "crash", "dark", "slow", "drain"]
+    kind: Literal["kill", "wipe", "freeze", "restart", "crash", "dark", "slow", "drain", "repeat"]
     target: str  # a machine (front-1, core-0, store-2), or a service and the index of its server (reader-0)
     for_s: float = 1.0
     x: float = 3.0
--- a/otterreach/loadtest/play.py
+++ b/otterreach/loadtest/play.py
@@ -177,6 +177,8 @@
             await server.go_dark(fault.for_s)
         elif fault.kind == "slow":
             await server.slow_down(fault.x, fault.for_s)
+        elif fault.kind == "repeat":
+            await server.repeat_answers(fault.x, fault.for_s)
         elif fault.kind == "drain":
             await server.shut_down_gracefully()
             await server.start()
--- a/otterreach/loadtest/server.py
+++ b/otterreach/loadtest/server.py
@@ -35,6 +35,7 @@
         self.state = "down"  # up, draining, down
         self.dark = False
         self.slow = 1.0
+        self.repeat_share = 0.0  # of the answers, of which a copy is sent late
         self.connections: set[Connection] = set()
         self.calls = 0
         self.drained_at = float("inf")  # end of the acknowledged drain period; later requests are faults
@@ -63,6 +64,7 @@
         self.ident = self.context.ident("i-")
         self.dark = False
         self.slow = 1.0
+        self.repeat_share = 0.0
         self.drained_at = float("inf")
         self.reset_state()
         loop = asyncio.get_running_loop()
@@ -109,6 +111,15 @@
     def _set_speed(self, x: float) -> None:
         self.slow = x
 
+    async def repeat_answers(self, share: float, for_s: float) -> None:
+        """Repeat this share of the answers for `for_s`: each copy is sent when the next request has arrived."""
+        self._set_repeat_share(share)
+        await asyncio.sleep(for_s)
+        self._set_repeat_share(0.0)
+
+    def _set_repeat_share(self, share: float) -> None:
+        self.repeat_share = share
+
     async def shut_down_gracefully(self) -> None:
         """Shut down gracefully: announce `draining`, keep serving for drainMs, deregister and stop."""
         self._set_state("draining")
--- a/otterreach/loadtest/verify.py
+++ b/otterreach/loadtest/verify.py
@@ -6,9 +6,17 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
-from otterreach.loadtest.ground_truth import EventData, GroundTruth, OrderRecord, mark, parse_event_data
+from otterreach.loadtest.ground_truth import (
+    EventData,
+    GroundTruth,
+    OrderRecord,
+    body_of,
+    mark,
+    parse_event_data,
+)
 from otterreach.loadtest.plan import Plan
 from otterreach.loadtest.trainer import BatchJob, Item
+from otterreach.sidecar import http1
 
 SLACK_S = 0.1  # tolerance for delays of the event loop that records the ground truth
 
@@ -92,6 +100,14 @@
     return [f"batch job {job.id}: {fault}" for fault in faults]
 
 
+def check_success(ident: str, body: bytes, answer: http1.Response, ground_truth: GroundTruth) -> str:
+    """Return the fault if no server made the body and the seal of a success for this request; empty if one did."""
+    sealed = ground_truth.seals.get(answer.headers.get(b"reply-seal", b"").decode("latin-1"))
+    if sealed is None or sealed.request != ident or answer.body != body_of(ident, body):
+        return f"{ident} was answered with a body or seal that no server made for it"
+    return ""
+
+
 def check_mutating(sent: dict[str, bool], ground_truth: GroundTruth) -> Iterator[str]:
     """Yield mutating requests that ran more than once, or ran though refused. `sent`: id -> whether it was refused."""
     counts = Counter(ran.request for ran in ground_truth.ran)
