Tests of requests: statuses that promise, from servers that don't say Not-Run

A client of a mutating route must not be told 408, 429 or 503 on the word of a server that doesn't say Not-Run; 421 says so by itself.

--- a/tests/proxy/test_requests.py
+++ b/tests/proxy/test_requests.py
@@ -17,6 +17,7 @@
     SEAL,
     Call,
     FakeClient,
+    Script,
     World,
     after,
     disconnect,
@@ -171,7 +172,10 @@
             ("mutating", garbled, (502, 1)),
             ("mutating", no_seal, (502, 1)),
             ("mutating", mismatched_id, (502, 1)),
-            ("mutating", bare_503, (502, 1)),
+            ("mutating", bare(408), (502, 1)),
+            ("mutating", bare(429), (502, 1)),
+            ("mutating", bare(503), (502, 1)),
+            ("mutating", bare(421), (200, 2)),  # says by itself that the request has not run
             ("mutating", silence, (504, 1)),
         ):
             with self.subTest(kind=kind, script=script.__name__):
@@ -501,8 +505,14 @@
     call.answer(ident="another")
 
 
-async def bare_503(call: Call) -> None:
-    call.answer(503, b"", b"")
+def bare(status: int) -> Script:
+    """Return a script that answers this status without Not-Run."""
+
+    async def script(call: Call) -> None:
+        call.answer(status, b"", b"")
+
+    script.__name__ = f"bare_{status}"
+    return script
 
 
 if __name__ == "__main__":
