Soak: requests through the proxies, at servers in trouble

The soak had callers of coordination alone, so none of its seeds could show what a proxy concludes about an attempt. What clients received is held against what servers ran: TWICE, REFUSED, MIXED.

--- a/otterreach/soak/__main__.py
+++ b/otterreach/soak/__main__.py
@@ -16,7 +16,7 @@
 
 from otterreach.soak.result import SoakResult
 from otterreach.soak.run import run_soak
-from otterreach.soak.setup import SoakSetup
+from otterreach.soak.setup import Load, SoakSetup
 
 INTERRUPTED_EXIT_CODE = 130
 MAX_PROCESSES = 300
@@ -71,6 +71,8 @@
     "Factor on the default number of callers."
     crowds: int = 0
     "Clients of each crowd that sends large bodies without their end; 0 for no crowds."
+    requests: int = 0
+    "Clients that send requests to the proxies; 0 for none. There have to be proxies."
     out: Path | None = None
     "Folder for the results; logs and disks are kept for soaks that broke a rule or had late answers."
     quiet: bool = False
@@ -83,8 +85,7 @@
             self.seconds,
             jobstores=self.jobstores,
             proxies=self.proxies,
-            callers_scale=self.callers,
-            crowd_clients=self.crowds,
+            load=Load(self.callers, self.crowds, self.requests),
         )
         if not self.controllers:
             return setup
--- a/otterreach/soak/fleet.py
+++ b/otterreach/soak/fleet.py
@@ -7,7 +7,7 @@
 import signal
 from pathlib import Path
 
-from otterreach.loadtest.machines import SEEDS, Machine, System
+from otterreach.loadtest.machines import FRONT_PORT, SEEDS, Machine, System
 from otterreach.soak.disk_losses import DiskLosses
 from otterreach.soak.setup import SOAK_BOUNDS, SoakSetup
 
@@ -46,6 +46,10 @@
         """Return the `ctl` addresses of the current controllers, which clients use."""
         return [machine.ctl for machine in self.controllers]
 
+    def front_addresses(self) -> list[str]:
+        """Return the addresses of the proxies for requests of clients."""
+        return [f"{machine.ip}:{FRONT_PORT}" for machine in self.system.machines_of_kind("front")]
+
     @property
     def is_calm(self) -> bool:
         """True if every process runs, its start-up time has passed, and no crowd is there."""
--- /dev/null
+++ b/otterreach/soak/model_servers.py
@@ -0,0 +1,113 @@
+"""Simulated model servers of a soak, and the troubles that they are in."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from enum import Enum
+from random import Random
+
+from otterreach.cli.caller import Caller
+from otterreach.loadtest.plan import Plan
+from otterreach.loadtest.scene import Entry, PlayContext
+from otterreach.loadtest.server import Server
+from otterreach.loadtest.servers import make_server
+from otterreach.soak.setup import SOAK_BOUNDS
+
+SERVERS_OCTET = 100  # third octet of the servers' addresses
+MEAN_PAUSE_S = 0.7  # between two troubles
+TROUBLE_S = (0.3, 1.0, 4.0)
+REPEAT_SHARE = 0.3  # of the answers of a server that repeats them late
+SLOW_FACTOR = 8.0
+ADDRESS_POLL_S = 0.5  # replaced controllers have other addresses
+
+
+class Trouble(Enum):
+    """Trouble of a server; the value is its relative frequency."""
+
+    REPEAT = 6.0
+    CRASH = 2.0
+    DARK = 1.0
+    SLOW = 2.0
+    DRAIN = 0.5
+
+
+class ModelServers:
+    """The servers of all services of a plan, which register with the controllers of the soak."""
+
+    def __init__(self, plan: Plan, network_prefix: str, controllers: Callable[[], list[str]], random: Random) -> None:
+        """:param controllers: returns the `ctl` addresses of the current controllers"""
+        loop = asyncio.get_running_loop()
+        self.controllers = controllers
+        self.random = random
+        self.context = PlayContext(
+            plan, SOAK_BOUNDS, Entry([]), Caller(controllers(), random), loop.time, Random(random.getrandbits(64))
+        )
+        self.servers = [
+            make_server(self.context, spec, n, f"{network_prefix}.{SERVERS_OCTET}.{n + 1}", plan.zones[0])
+            for spec in plan.service
+            for n in range(spec.servers)
+        ]
+        self.troubles = 0
+        self.failures: list[str] = []  # of the soak test itself
+        self._restarting: set[Server] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Start the servers, and trouble them until cancelled."""
+        for server in self.servers:
+            await server.start()
+        self._spawn(self._follow_controllers())
+        while True:
+            await asyncio.sleep(self.random.expovariate(1.0 / MEAN_PAUSE_S))
+            trouble = self.random.choices(list(Trouble), [trouble.value for trouble in Trouble])[0]
+            self._start(trouble, self.random.choice(self.servers), self.random.choice(TROUBLE_S))
+
+    def stop(self) -> None:
+        """Stop all servers and troubles."""
+        for task in list(self._tasks):
+            task.cancel()
+        for server in self.servers:
+            if server.state != "down":
+                server.stop()
+
+    def _start(self, trouble: Trouble, server: Server, seconds: float) -> None:
+        if server in self._restarting:
+            return
+        self.troubles += 1
+        self._spawn(self._coroutine(trouble, server, seconds))
+
+    def _coroutine(self, trouble: Trouble, server: Server, seconds: float) -> Coroutine[object, object, None]:
+        if trouble is Trouble.REPEAT:
+            return server.repeat_answers(REPEAT_SHARE, seconds)
+        if trouble is Trouble.SLOW:
+            return server.slow_down(SLOW_FACTOR, seconds)
+        if trouble is Trouble.DARK:
+            return server.go_dark(seconds)
+        self._restarting.add(server)
+        return self._restart(server, seconds, graceful=trouble is Trouble.DRAIN)
+
+    async def _restart(self, server: Server, seconds: float, graceful: bool) -> None:
+        try:
+            if graceful:
+                await server.shut_down_gracefully()
+                await server.start()
+            else:
+                await server.crash(seconds)
+        finally:
+            self._restarting.discard(server)
+
+    async def _follow_controllers(self) -> None:
+        while True:
+            self.context.ctl.addresses = self.controllers()
+            await asyncio.sleep(ADDRESS_POLL_S)
+
+    def _spawn(self, coroutine: Coroutine[object, object, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+
+    def _task_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and (error := task.exception()):
+            self.failures.append(f"model server failed in the soak test itself: {error!r}")
--- a/otterreach/soak/result.py
+++ b/otterreach/soak/result.py
@@ -26,6 +26,9 @@
     calls: dict[str, dict[str, int]] = field(default_factory=dict)  # counts by kind of call, then by status
     disruptions: list[Disruption] = field(default_factory=list)
     host_stalls: list[HostStall] = field(default_factory=list)
+    answers: dict[str, int] = field(default_factory=dict)  # to requests through the proxies, by status
+    late_copies: int = 0  # of answers, which servers sent in place of the next ones
+    server_troubles: int = 0
     processes: int = 0
     peak_mb: float = 0.0  # sum over machines of the peak memory of their processes
     served_after_s: float = 0.0  # from the end of the disruptions until a call was served
@@ -59,10 +62,18 @@
         return (
             f"seed {setup.seed}: {verdict}; {setup.controllers} controllers, survive {setup.survive}, "
             f"{self.processes} processes, {len(self.disruptions)} disruptions, calls {shown}, "
+            f"{self._requests()}"
             f"{len(self.late)} late, {len(self.host_stalls)} host stalls, "
             f"served after {self.served_after_s:.1f} s, {self.peak_mb:.0f} MB"
         )
 
+    def _requests(self) -> str:
+        """Return the requests through the proxies, followed by a comma; empty if there were none."""
+        if not self.answers:
+            return ""
+        shown = " ".join(f"{status}:{count}" for status, count in sorted(self.answers.items()))
+        return f"requests {shown}, {self.late_copies} late copies, {self.server_troubles} troubles of servers, "
+
     def details(self) -> str:
         """Return the first violations, one per line."""
         return "\n".join(f"  {what}" for what in self.violations[:MAX_SHOWN_VIOLATIONS])
--- a/otterreach/soak/run.py
+++ b/otterreach/soak/run.py
@@ -18,6 +18,7 @@
 from otterreach.soak.operator import ConfigurationOperator
 from otterreach.soak.result import SoakResult
 from otterreach.soak.setup import FREE_S, HISTORY_S, SOAK_BOUNDS, SoakSetup
+from otterreach.soak.traffic import Traffic
 
 RECOVER_S = float(SOAK_BOUNDS["recoverS"])
 CONTACT_S = float(SOAK_BOUNDS["contactMs"]) / 1000
@@ -42,14 +43,15 @@
         self.operator = ConfigurationOperator(self.fleet.plan, self.fleet.addresses, Random(random.getrandbits(64)))
         self.disruptor = Disruptor(self.fleet, self.operator, Random(random.getrandbits(64)), self.print_line)
         self.population = SoakPopulation(
-            population_setup(random, setup.callers_scale),
+            population_setup(random, setup.load.callers_scale),
             Random(random.getrandbits(64)),
             self.fleet.addresses,
             HISTORY_S,
             lambda: self.stopping,
         )
         self.stopping = False
-        self.crowds = Crowds(self.fleet, setup.crowd_clients, Random(setup.seed ^ CROWDS_SEED))
+        self.crowds = Crowds(self.fleet, setup.load.crowd_clients, Random(setup.seed ^ CROWDS_SEED))
+        self.traffic = Traffic(self.fleet, setup.load.request_clients, setup.seed, lambda: self.stopping)
         self.host = HostMonitor(folder / "host")
         self.fault_free: list[FaultFreeSpan] = []
         self.result = SoakResult(setup, processes=len(self.fleet.system.machines))
@@ -73,6 +75,7 @@
             for task in list(self._tasks):
                 task.cancel()
             self.population.close()
+            self.traffic.close()
             await self.fleet.stop_all()
             self._summarize()
         return self.result
@@ -92,7 +95,9 @@
         self._spawn(self.fleet.supervise())
         self._spawn(self.host.run())
         self._spawn(self._record_fault_free_spans())
-        crowds = self._spawn(self.crowds.run()) if self.setup.crowd_clients else None
+        crowds = self._spawn(self.crowds.run()) if self.setup.load.crowd_clients else None
+        if self.setup.load.request_clients:
+            self.traffic.start()
         self.callers = [self._spawn(coroutine) for coroutine in self.population.caller_coroutines()]
         await asyncio.sleep(FORMATION_S)
         await self.disruptor.run(self.setup.seconds)
@@ -130,6 +135,11 @@
         _, open_callers = await asyncio.wait(self.callers, timeout=LAST_CALLS_TIMEOUT_S)
         for caller in open_callers:
             caller.cancel()
+        if self.setup.load.request_clients:
+            self.result.violations += await self.traffic.finish()
+            self.result.answers = dict(self.traffic.log.answers)
+            self.result.late_copies = self.traffic.late_copies
+            self.result.server_troubles = self.traffic.servers.troubles
         await self.population.audit()
         await self._check_configuration()
         bounds = Bounds(HISTORY_S, FREE_S)
--- a/otterreach/soak/setup.py
+++ b/otterreach/soak/setup.py
@@ -18,6 +18,18 @@
 MEAN_PAUSES_S = (0.7, 1.5, 3.0)
 
 
+@dataclass(frozen=True, slots=True)
+class Load:
+    """The clients of a soak."""
+
+    callers_scale: int = 1  # factor on the default number of callers of coordination
+    crowd_clients: int = 0  # clients of each crowd that does not behave; 0 for no crowds
+    request_clients: int = 0  # clients that send requests to the proxies; 0 for no model servers
+
+
+DEFAULT_LOAD = Load()
+
+
 @dataclass(frozen=True, slots=True)
 class SoakSetup:
     """Parameters of one soak. Times are in seconds."""
@@ -31,8 +43,7 @@
     mean_pause_s: float  # between disruptions
     may_lose_majority: bool
     final_power_loss: bool
-    callers_scale: int = 1
-    crowd_clients: int = 0  # clients of each crowd that does not behave; 0 for no crowds
+    load: Load = DEFAULT_LOAD
 
     @classmethod
     def draw(
@@ -42,8 +53,7 @@
         *,
         jobstores: int = 0,
         proxies: int = 0,
-        callers_scale: int = 1,
-        crowd_clients: int = 0,
+        load: Load = DEFAULT_LOAD,
     ) -> SoakSetup:
         """Return a setup drawn from the seed, with the given numbers of job store nodes and proxies."""
         random = Random(seed ^ 0x50AC)
@@ -58,8 +68,7 @@
             mean_pause_s=random.choice(MEAN_PAUSES_S),
             may_lose_majority=random.random() < MAJORITY_LOSS_SHARE,
             final_power_loss=random.random() < FINAL_POWER_LOSS_SHARE,
-            callers_scale=callers_scale,
-            crowd_clients=crowd_clients,
+            load=load,
         )
 
     def plan(self) -> Plan:
@@ -71,6 +80,9 @@
             zones=[f"hall-{letter}" for letter in "abcde"[: self.controllers]],
             survive=self.survive,
             seed=self.seed,
-            service=[Service("marker")],
-            route=[Route("lookup", "/lookup/", "marker")],
+            service=[Service("marker", servers=3, cap=2, queue=2, errors=0.02)],
+            route=[
+                Route("lookup", "/lookup/", "marker"),
+                Route("notes", "/notes/", "marker", kind="mutating", tries=4),
+            ],
         )
--- a/otterreach/soak/wire.py
+++ b/otterreach/soak/wire.py
@@ -24,6 +24,7 @@
     def __init__(self) -> None:
         self.is_open = True
         self.is_busy = False
+        self.unsolicited = b""  # data that came while no call was in progress
         self._parser = http1.ResponseParser()
         self._answer: asyncio.Future[http1.Response | None] | None = None
         self._transport: asyncio.Transport | None = None
@@ -35,8 +36,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received data; complete the call if its response is complete."""
+        if self._answer is None or self._answer.done():
+            self.unsolicited += data
+            return
         response = self._parser.feed(data)
-        if response is not None and self._answer and not self._answer.done():
+        if response is not None:
             self._answer.set_result(response)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/tests/crowds/test_soak.py
+++ b/tests/crowds/test_soak.py
@@ -11,7 +11,7 @@
 from otterreach.soak.crowds import BODY_BYTES, UNSENT_BYTES, Framing, parts
 from otterreach.soak.result import SoakResult
 from otterreach.soak.run import run_soak
-from otterreach.soak.setup import SoakSetup
+from otterreach.soak.setup import Load, SoakSetup
 
 pytestmark = pytest.mark.crowd
 SEEDS = (1, 2)
@@ -22,7 +22,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_no_rule_is_broken_and_no_process_holds_too_much(seed: int, tmp_path: Path) -> None:
-    setup = SoakSetup.draw(seed, SECONDS, jobstores=1, proxies=2, crowd_clients=CLIENTS)
+    setup = SoakSetup.draw(seed, SECONDS, jobstores=1, proxies=2, load=Load(crowd_clients=CLIENTS))
 
     async def main() -> SoakResult:
         return await run_soak(setup, tmp_path, quiet=True)
