Proxy: an exchange takes a record of options; Keep-Alive is read in one place

Exchange and Fleet.exchange took ten arguments, half of them options. Reading the idle time that a server announces stood twice, with a constant each. No change of behaviour.

--- a/otterreach/proxy/exchange.py
+++ b/otterreach/proxy/exchange.py
@@ -12,8 +12,9 @@
 from enum import Enum, auto
 from http import HTTPStatus
 
-from otterreach.proxy.pools import IDLE_MARGIN_S, Connection, Pool
+from otterreach.proxy.pools import Connection, Pool
 from otterreach.sidecar import http1
+from otterreach.sidecar.keep_alive import max_idle_s
 
 STALE_CONNECTION_S = 0.05  # a reused connection that is lost this soon, unanswered, was stale
 Headers = dict[bytes, bytes]
@@ -98,6 +99,27 @@
     return {name: value for name, value in headers.items() if name not in without and name not in named}
 
 
+@dataclass(frozen=True, slots=True)
+class ExchangeOptions:
+    """Options of one attempt.
+
+    :param extra: headers of this attempt; they replace client headers of the same name
+    :param on_head: called with the status and the headers of an answer of a server that has run the request
+    :param on_body: called with the parts of a 2xx answer's body, which the outcome lacks then
+    :param fresh_only: use only a connection that is new or was idle for a short time
+    :param announced_time_s: time left, announced to the server; by default until the deadline
+    """
+
+    extra: Headers = field(default_factory=dict)
+    on_head: Callable[[int, Headers], None] | None = None
+    on_body: Callable[[bytes], None] | None = None
+    fresh_only: bool = False
+    announced_time_s: float | None = None
+
+
+DEFAULT_OPTIONS = ExchangeOptions()
+
+
 class Exchange:
     """One attempt at a server.
 
@@ -111,27 +133,21 @@
         outbound: Outbound,
         deadline: float,
         may_write: Callable[[], bool],
-        extra: Headers | None = None,
-        on_head: Callable[[int, Headers], None] | None = None,
-        on_body: Callable[[bytes], None] | None = None,
-        fresh_only: bool = False,
-        announced_time_s: float | None = None,
+        options: ExchangeOptions = DEFAULT_OPTIONS,
     ) -> None:
         self.pool = pool
         self.server = server
         self.outbound = outbound
         self.deadline = deadline
         self.may_write = may_write
-        self.extra = extra or {}
-        self.fresh_only = fresh_only
+        self.options = options
         self.loop = pool.loop
         self.started = self.loop.time()
         self.last_received_at = self.started  # time of the last received byte
         self.sent_at = 0.0
         # The deadline announced to the server.
-        self._announced_deadline = deadline if announced_time_s is None else self.started + announced_time_s
-        self._on_head = on_head
-        self._on_body = on_body
+        announced_s = options.announced_time_s
+        self._announced_deadline = deadline if announced_s is None else self.started + announced_s
         self._body_chunks: list[bytes] = []
         self._status = 0
         self._headers: Headers = {}
@@ -154,7 +170,7 @@
 
     async def _run(self) -> Outcome:
         request_id = self.outbound.request_id
-        connection = await self.pool.acquire(self.deadline - self.loop.time(), request_id, self.fresh_only)
+        connection = await self.pool.acquire(self.deadline - self.loop.time(), request_id, self.options.fresh_only)
         if connection is None:
             return Outcome(Execution.NOT_EXECUTED, "no_connection", timed_out=self.loop.time() >= self.deadline)
         # While connecting, in a delayed event loop or a paused process, the deadline may have passed, or the request or
@@ -168,7 +184,8 @@
             self._body, self._head, BOUNDS, require_framing=True, is_expected=self._is_expected
         )
         self.sent_at = self.loop.time()
-        connection.start(self, request_id, self.outbound.encode_head(self.server, left, self.extra), self.outbound.body)
+        head = self.outbound.encode_head(self.server, left, self.options.extra)
+        connection.start(self, request_id, head, self.outbound.body)
         timer = self.loop.call_at(self.deadline, self.give_up, "timeout", True)
         try:
             return await self._done
@@ -256,16 +273,16 @@
             return
         self._status = status
         self._headers = headers
-        if self._connection and (seconds := keep_alive_s(headers)) is not None:
-            self._connection.max_idle_s = max(seconds - IDLE_MARGIN_S, seconds / 2)
-        if self._on_head and b"not-run" not in headers and status != HTTPStatus.MISDIRECTED_REQUEST:
-            self._on_head(status, headers)
+        if self._connection:
+            self._connection.max_idle_s = max_idle_s(headers, self._connection.max_idle_s)
+        if self.options.on_head and b"not-run" not in headers and status != HTTPStatus.MISDIRECTED_REQUEST:
+            self.options.on_head(status, headers)
 
     def _body(self, data: bytes) -> None:
         if self._done.done():
             return
-        if self._on_body and 200 <= self._status < 300:
-            self._on_body(data)
+        if self.options.on_body and 200 <= self._status < 300:
+            self.options.on_body(data)
         else:
             self._body_chunks.append(data)
 
@@ -289,12 +306,3 @@
             self._end(Outcome(Execution.MAY_HAVE_EXECUTED, "no_seal", status, headers, sent=True))
         else:
             self._end(Outcome(Execution.ANSWERED, "", status, headers, body, sent=True), reusable)
-
-
-def keep_alive_s(headers: Headers) -> float | None:
-    """Return the timeout of the Keep-Alive header in seconds, or None if it has none."""
-    for part in headers.get(b"keep-alive", b"").split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and value.strip().isdigit():
-            return float(value)
-    return None
--- a/otterreach/proxy/fleet.py
+++ b/otterreach/proxy/fleet.py
@@ -12,7 +12,14 @@
 from random import Random
 
 from otterreach.proxy.draw import Draw, Estimate
-from otterreach.proxy.exchange import Exchange, Execution, Headers, Outbound, Outcome
+from otterreach.proxy.exchange import (
+    DEFAULT_OPTIONS,
+    Exchange,
+    ExchangeOptions,
+    Execution,
+    Outbound,
+    Outcome,
+)
 from otterreach.proxy.pools import Opener, Pool
 from otterreach.runtime import configuration as configuration_module
 from otterreach.runtime.configuration import Configuration, ConfigurationRecord, Route
@@ -223,16 +230,10 @@
         outbound: Outbound,
         deadline: float,
         may_write: Callable[[], bool],
-        extra: Headers | None = None,
-        on_head: Callable[[int, Headers], None] | None = None,
-        on_body: Callable[[bytes], None] | None = None,
-        fresh_only: bool = False,
-        announced_time_s: float | None = None,
+        options: ExchangeOptions = DEFAULT_OPTIONS,
     ) -> Exchange:
         """Create an exchange with a server without starting it; for the parameters see Exchange."""
-        return Exchange(
-            server.pool, server.id, outbound, deadline, may_write, extra, on_head, on_body, fresh_only, announced_time_s
-        )
+        return Exchange(server.pool, server.id, outbound, deadline, may_write, options)
 
     async def attempt(self, server: Server, exchange: Exchange) -> Outcome:
         """Run an exchange and update the load estimate of its server; the caller records the response time."""
--- a/otterreach/proxy/pools.py
+++ b/otterreach/proxy/pools.py
@@ -24,7 +24,6 @@
 MIN_IDLE_S = 0.02  # between two requests on one connection: surplus bytes of an answer arrive within this time
 CONNECT_TIMEOUT_S = 0.15
 MAX_FRESH_IDLE_S = 1.0  # a connection idle for longer may be stale and gets no request that must not be repeated
-IDLE_MARGIN_S = 0.4  # close this long before the Keep-Alive timeout of the server
 DEFAULT_MAX_IDLE_S = 60.0  # where the server announces no timeout: the server closes first
 MAX_REQUESTS = 500  # on one connection; bounds the ids that it remembers
 # The kernel drops a connection with bytes unacknowledged for longer, so that a cancelled request never runs late.
--- a/otterreach/proxy/requests.py
+++ b/otterreach/proxy/requests.py
@@ -15,6 +15,7 @@
 from otterreach.proxy.exchange import (
     HOP_BY_HOP_HEADERS,
     PROXY_HEADERS,
+    ExchangeOptions,
     Execution,
     Headers,
     Outbound,
@@ -183,8 +184,7 @@
             attempt.outbound,
             now + (left * FIRST_ATTEMPT_SHARE if has_alternative else left),
             self.write_check(attempt, server),
-            fresh_only=not attempt.idempotent,
-            announced_time_s=left,
+            ExchangeOptions(fresh_only=not attempt.idempotent, announced_time_s=left),
         )
         return await self.fleet.attempt(server, exchange)
 
--- a/otterreach/proxy/streams.py
+++ b/otterreach/proxy/streams.py
@@ -6,7 +6,7 @@
 
 from otterreach.proxy.client_connection import Client
 from otterreach.proxy.events import EventReader
-from otterreach.proxy.exchange import Exchange, Execution, Headers, Outcome
+from otterreach.proxy.exchange import Exchange, ExchangeOptions, Execution, Headers, Outcome
 from otterreach.proxy.fleet import Server
 from otterreach.proxy.requests import ClientRequest, Requests, parse_number, response_headers
 from otterreach.runtime.configuration import Route
@@ -125,10 +125,7 @@
             attempt.outbound,
             attempt.deadline,
             self.requests.write_check(attempt, server),
-            extra,
-            relay.head,
-            relay.body,
-            fresh_only=not attempt.idempotent,
+            ExchangeOptions(extra, relay.head, relay.body, fresh_only=not attempt.idempotent),
         )
         relay.attach(exchange)
         stall_s = max(MIN_STALL_S, STALL_IN_TARGETS * route.target_s)
--- a/otterreach/proxy/text_generation.py
+++ b/otterreach/proxy/text_generation.py
@@ -5,7 +5,7 @@
 import asyncio
 from http import HTTPStatus
 
-from otterreach.proxy.exchange import Exchange, Execution, Headers, Outcome
+from otterreach.proxy.exchange import Exchange, ExchangeOptions, Execution, Headers, Outcome
 from otterreach.proxy.fleet import Fleet, Server
 from otterreach.proxy.item_placement import ItemPlacer
 from otterreach.proxy.item_queue import ItemQueue
@@ -59,9 +59,8 @@
             return fit and self.permission.may_send(run) and self.fleet.may_write(server, run.host, run.path)
 
         run.events = 0
-        exchange = run.exchange = self.fleet.exchange(
-            server, run.outbound, run.abandon_at, may_write, extra, attempt.on_head, attempt.on_body
-        )
+        options = ExchangeOptions(extra, attempt.on_head, attempt.on_body)
+        exchange = run.exchange = self.fleet.exchange(server, run.outbound, run.abandon_at, may_write, options)
         run.server = server
         try:
             outcome = await self.fleet.attempt(server, exchange)
--- a/otterreach/runtime/http_client.py
+++ b/otterreach/runtime/http_client.py
@@ -19,31 +19,16 @@
 from otterreach.runtime.http import REQUEST_ID, Reply
 from otterreach.runtime.socket_options import set_socket_options
 from otterreach.sidecar import http1
+from otterreach.sidecar.keep_alive import max_idle_s
 from otterreach.sidecar.transport import ServerConnection
 
 MAX_IDLE_S = 60.0  # limit of the idle time of a connection, since a peer that has vanished would never close it
-IDLE_MARGIN_S = 0.4  # the connection is closed this long before the time-out of the server's Keep-Alive header
 NO_HEADERS: Mapping[str, str] = {}
 ANY_PATH = ""  # path in the pool key of connections that may be used for any call
 RemoveFromPool = Callable[["_Connection"], None]
 PoolKey = tuple[str, str]  # address, and path of the calls that may use the connection
 
 
-def keep_alive_s(headers: Mapping[bytes, bytes]) -> float | None:
-    """Return the time-out of the Keep-Alive header in seconds, or None."""
-    for part in headers.get(b"keep-alive", b"").split(b","):
-        name, _, value = part.strip().partition(b"=")
-        if name.strip().lower() == b"timeout" and value.strip().isdigit():
-            return float(value)
-    return None
-
-
-def max_idle_s(headers: Mapping[bytes, bytes], default_s: float) -> float:
-    """Return the maximum idle time of a connection after a response with these headers."""
-    announced_s = keep_alive_s(headers)
-    return default_s if announced_s is None else max(announced_s - IDLE_MARGIN_S, announced_s / 2)
-
-
 class _Connection(ServerConnection):
     """A connection that is idle or used by one call."""
 
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -74,9 +74,8 @@
         request: Outbound | None = None,
         within_s: float = 5.0,
         may_write: Callable[[], bool] = lambda: True,
-        **more: Any,
     ) -> Exchange:
-        return Exchange(pool, "i-1", request or outbound(), pool.loop.time() + within_s, may_write, **more)
+        return Exchange(pool, "i-1", request or outbound(), pool.loop.time() + within_s, may_write)
 
     async def test_an_answer_and_a_kept_connection(self) -> None:
         head = b"HTTP/1.1 200 OK\r\nRequest-Id: ID\r\n" + SEAL
--- a/tests/runtime/test_http_calls.py
+++ b/tests/runtime/test_http_calls.py
@@ -12,8 +12,9 @@
 from otterreach.runtime import http
 from otterreach.runtime.codes import Code, Failure
 from otterreach.runtime.http import JsonServer, Reply
-from otterreach.runtime.http_client import IDLE_MARGIN_S, MAX_IDLE_S, JsonClient
+from otterreach.runtime.http_client import MAX_IDLE_S, JsonClient
 from otterreach.sidecar import http1
+from otterreach.sidecar.keep_alive import IDLE_MARGIN_S
 from tests import virtual
 from tests.late_reader import LateReader, read_to_the_end
 from tests.virtual import MemoryLoop, MemoryTransport, connect
