--- a/otterreach/loadtest/play.py
+++ b/otterreach/loadtest/play.py
@@ -5,13 +5,12 @@
 import asyncio
 import os
 import time
-from collections.abc import Coroutine
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
-from typing import Any
 
 from otterreach.cli.caller import Caller
+from otterreach.loadtest.background_tasks import BackgroundTasks
 from otterreach.loadtest.callers import Callers, Operator
 from otterreach.loadtest.machines import FRONT_PORT, READYZ_PORT, Machine, System
 from otterreach.loadtest.plan import BOUNDS, Fault, Plan
@@ -79,24 +78,13 @@
         ]
         self.operator = Operator(self.context)
         self.played = PlayResult(plan, seconds=seconds, machines=self.system.machines)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(lambda error: self.played.faults.append(f"load test task failed: {error!r}"))
 
     def print_line(self, line: str) -> None:
         """Print a progress line with the elapsed time, unless quiet."""
         if not self.quiet:
             print(f"{self.loop.time() - self.begun:6.1f} s  {line}", flush=True)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-        return task
-
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()):
-            self.played.faults.append(f"load test task failed: {error!r}")
-
     async def run(self) -> PlayResult:
         """Run the play. All processes and servers started here are stopped, also after an error."""
         try:
@@ -115,7 +103,7 @@
         self.print_line(f"inspect the running system with: python3 -m otterreach.cli owners --settings {settings}")
         for server in self.servers:
             await server.start()
-        self._spawn(self.context.entry.watch())
+        self._tasks.start(self.context.entry.watch())
         if not await self.operator.put(START_S):
             self.played.faults.append("first configuration not accepted in time")
             return False
@@ -134,9 +122,9 @@
         start = self.loop.time()
         self.played.callers = [Callers(self.context, row, start, self.played.faults) for row in self.plan.clients]
         self.played.trainers = [TrainerRunner(self.context, row, start) for row in self.plan.trainer]
-        parts = [self._spawn(part.run()) for part in self.played.callers]
-        parts += [self._spawn(part.run()) for part in self.played.trainers]
-        injections = [self._spawn(self._fault(fault)) for fault in self.plan.fault if fault.at < self.seconds]
+        parts = [self._tasks.start(part.run()) for part in self.played.callers]
+        parts += [self._tasks.start(part.run()) for part in self.played.trainers]
+        injections = [self._tasks.start(self._fault(fault)) for fault in self.plan.fault if fault.at < self.seconds]
         await asyncio.sleep(self.seconds)
         self.context.stopping = True
         self.print_line("traffic ended; waiting for open requests and batch jobs")
@@ -215,8 +203,7 @@
         )
 
     async def _stop(self) -> None:
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         for server in self.servers:
             if server.state != "down":
                 server.stop()
--- a/otterreach/soak/disruptions.py
+++ b/otterreach/soak/disruptions.py
@@ -5,10 +5,11 @@
 import asyncio
 import signal
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 from random import Random
 
+from otterreach.loadtest.background_tasks import BackgroundTasks
 from otterreach.loadtest.machines import Machine
 from otterreach.soak.fleet import Fleet
 from otterreach.soak.operator import ConfigurationOperator
@@ -46,17 +47,19 @@
     target: str
 
 
-@dataclass(slots=True)
 class Disruptor:
     """Draws disruptions and applies them to the fleet."""
 
-    fleet: Fleet
-    operator: ConfigurationOperator
-    random: Random
-    print_line: Callable[[str], None]
-    disruptions: list[Disruption] = field(default_factory=list)
-    _tasks: set[asyncio.Task[None]] = field(default_factory=set)
-    _began: float = 0.0
+    def __init__(
+        self, fleet: Fleet, operator: ConfigurationOperator, random: Random, print_line: Callable[[str], None]
+    ) -> None:
+        self.fleet = fleet
+        self.operator = operator
+        self.random = random
+        self.print_line = print_line
+        self.disruptions: list[Disruption] = []
+        self._tasks = BackgroundTasks(self._record_failure)
+        self._began = 0.0
 
     async def run(self, seconds: float) -> None:
         """Alternate phases of disruptions and of recovery; return once every process runs again."""
@@ -70,8 +73,7 @@
 
     async def finish(self) -> None:
         """Wait for all disruptions in progress."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        await self._tasks.wait()
 
     async def _disrupt_until(self, until: float) -> None:
         loop = asyncio.get_running_loop()
@@ -95,16 +97,11 @@
 
     def _start(self, kind: Kind) -> None:
         coroutine = self._coroutine(kind)
-        if coroutine is None:
-            return
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()):
-            self.fleet.unexpected_exits.append(f"disruption failed in the soak test itself: {error!r}")
+        if coroutine is not None:
+            self._tasks.start(coroutine)
+
+    def _record_failure(self, error: BaseException) -> None:
+        self.fleet.unexpected_exits.append(f"disruption failed in the soak test itself: {error!r}")
 
     def _record(self, kind: Kind, target: str) -> None:
         at = asyncio.get_running_loop().time() - self._began
--- a/otterreach/soak/model_servers.py
+++ b/otterreach/soak/model_servers.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from otterreach.cli.caller import Caller
+from otterreach.loadtest.background_tasks import BackgroundTasks
 from otterreach.loadtest.plan import Plan
 from otterreach.loadtest.scene import Entry, PlayContext
 from otterreach.loadtest.server import Server
@@ -51,13 +52,15 @@
         self.troubles = 0
         self.failures: list[str] = []  # of the soak test itself
         self._restarting: set[Server] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(
+            lambda error: self.failures.append(f"model server failed in the soak test itself: {error!r}")
+        )
 
     async def run(self) -> None:
         """Start the servers, and trouble them until cancelled."""
         for server in self.servers:
             await server.start()
-        self._spawn(self._follow_controllers())
+        self._tasks.start(self._follow_controllers())
         while True:
             await asyncio.sleep(self.random.expovariate(1.0 / MEAN_PAUSE_S))
             trouble = self.random.choices(list(Trouble), [trouble.value for trouble in Trouble])[0]
@@ -65,8 +68,7 @@
 
     def stop(self) -> None:
         """Stop all servers and troubles."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         for server in self.servers:
             if server.state != "down":
                 server.stop()
@@ -75,7 +77,7 @@
         if server in self._restarting:
             return
         self.troubles += 1
-        self._spawn(self._coroutine(trouble, server, seconds))
+        self._tasks.start(self._coroutine(trouble, server, seconds))
 
     def _coroutine(self, trouble: Trouble, server: Server, seconds: float) -> Coroutine[object, object, None]:
         if trouble is Trouble.REPEAT:
@@ -101,13 +103,3 @@
         while True:
             self.context.ctl.addresses = self.controllers()
             await asyncio.sleep(ADDRESS_POLL_S)
-
-    def _spawn(self, coroutine: Coroutine[object, object, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()):
-            self.failures.append(f"model server failed in the soak test itself: {error!r}")
--- a/otterreach/soak/run.py
+++ b/otterreach/soak/run.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Coroutine
 from pathlib import Path
 from random import Random
 
+from otterreach.loadtest.background_tasks import BackgroundTasks
 from otterreach.simulation.coordination_check import Bounds, find_violations
 from otterreach.simulation.coordination_liveness import FaultFreeSpan
 from otterreach.soak.callers import SoakPopulation, population_setup, wait_until_served
@@ -55,7 +55,7 @@
         self.host = HostMonitor(folder / "host")
         self.fault_free: list[FaultFreeSpan] = []
         self.result = SoakResult(setup, processes=len(self.fleet.system.machines))
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks(self._record_failure)
 
     def print_line(self, line: str) -> None:
         """Print a line with the time since the start, unless the soak is quiet."""
@@ -72,33 +72,24 @@
             else:
                 self.result.violations.append("LOST: the initial configuration was not accepted")
         finally:
-            for task in list(self._tasks):
-                task.cancel()
+            self._tasks.cancel()
             self.population.close()
             self.traffic.close()
             await self.fleet.stop_all()
             self._summarize()
         return self.result
 
-    def _spawn(self, coroutine: Coroutine[object, object, None]) -> asyncio.Task[None]:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-        return task
-
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and (error := task.exception()):
-            self.result.violations.append(f"task failed in the soak test itself: {error!r}")
+    def _record_failure(self, error: BaseException) -> None:
+        self.result.violations.append(f"task failed in the soak test itself: {error!r}")
 
     async def _disrupt(self) -> None:
-        self._spawn(self.fleet.supervise())
-        self._spawn(self.host.run())
-        self._spawn(self._record_fault_free_spans())
-        crowds = self._spawn(self.crowds.run()) if self.setup.load.crowd_clients else None
+        self._tasks.start(self.fleet.supervise())
+        self._tasks.start(self.host.run())
+        self._tasks.start(self._record_fault_free_spans())
+        crowds = self._tasks.start(self.crowds.run()) if self.setup.load.crowd_clients else None
         if self.setup.load.request_clients:
             self.traffic.start()
-        self.callers = [self._spawn(coroutine) for coroutine in self.population.caller_coroutines()]
+        self.callers = [self._tasks.start(coroutine) for coroutine in self.population.caller_coroutines()]
         await asyncio.sleep(FORMATION_S)
         await self.disruptor.run(self.setup.seconds)
         if crowds is not None:
