--- a/tests/runtime/test_http_calls.py
+++ b/tests/runtime/test_http_calls.py
@@ -199,6 +199,18 @@
     assert call_with_long_body(handle) == Reply(status, b"ok")
 
 
+def test_a_call_that_times_out_half_written_may_have_been_executed() -> None:
+    """TWICE: an order whose server went dark while it read it was reported as never sent."""
+
+    async def work() -> Reply | Failure:
+        with LateReader() as reader:
+            host, port = reader.address
+            return await JsonClient().call(f"{host}:{port}", "POST", "/order", b"x" * 32_000_000, 0.1)
+
+    reply = asyncio.run(work())
+    assert isinstance(reply, Failure) and reply.code is Code.TIMED_OUT
+
+
 def test_unsent_bytes_of_a_timed_out_call_are_dropped() -> None:
     """The server reads only after the time-out, as after a network partition: an order must not arrive that late."""
     body = b"x" * 400_000
