--- a/otterreach/loadtest/callers.py
+++ b/otterreach/loadtest/callers.py
@@ -10,7 +10,7 @@
 from otterreach.cli.caller import send_request
 from otterreach.loadtest.latency import Latencies
 from otterreach.loadtest.plan import HOST, Clients, configuration
-from otterreach.loadtest.scene import PlayContext
+from otterreach.loadtest.play_context import PlayContext
 from otterreach.loadtest.verify import check_success
 from otterreach.runtime.codes import Failure
 from otterreach.sidecar import http1
--- a/otterreach/loadtest/connection.py
+++ b/otterreach/loadtest/connection.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from otterreach.loadtest.plan import Service
-from otterreach.loadtest.scene import PlayContext
+from otterreach.loadtest.play_context import PlayContext
 from otterreach.sidecar import http1
 
 MAX_BODY_BYTES = 64 * 1024 * 1024
--- a/otterreach/loadtest/play.py
+++ b/otterreach/loadtest/play.py
@@ -14,7 +14,7 @@
 from otterreach.loadtest.callers import Callers, Operator
 from otterreach.loadtest.machines import FRONT_PORT, READYZ_PORT, Machine, System
 from otterreach.loadtest.plan import BOUNDS, Fault, Plan
-from otterreach.loadtest.scene import Entry, Front, PlayContext
+from otterreach.loadtest.play_context import Entry, Front, PlayContext
 from otterreach.loadtest.server import Server
 from otterreach.loadtest.servers import make_server
 from otterreach.loadtest.trainer import TrainerRunner
--- a/otterreach/loadtest/server.py
+++ b/otterreach/loadtest/server.py
@@ -11,7 +11,7 @@
 from otterreach.loadtest.connection import Connection, HeaderPairs
 from otterreach.loadtest.ground_truth import RunRecord, SealRecord
 from otterreach.loadtest.plan import Service
-from otterreach.loadtest.scene import PlayContext
+from otterreach.loadtest.play_context import PlayContext
 from otterreach.runtime.codes import Failure
 from otterreach.sidecar import http1
 
--- a/otterreach/loadtest/servers.py
+++ b/otterreach/loadtest/servers.py
@@ -5,7 +5,7 @@
 from otterreach.loadtest.engine_server import EngineServer
 from otterreach.loadtest.plain_server import PlainServer
 from otterreach.loadtest.plan import Service
-from otterreach.loadtest.scene import PlayContext
+from otterreach.loadtest.play_context import PlayContext
 from otterreach.loadtest.server import Server
 
 
--- a/otterreach/loadtest/trainer.py
+++ b/otterreach/loadtest/trainer.py
@@ -15,7 +15,7 @@
 from otterreach.cli.caller import Headers, send_request
 from otterreach.loadtest.latency import Latencies
 from otterreach.loadtest.plan import HOST, Route, Trainer
-from otterreach.loadtest.scene import PlayContext
+from otterreach.loadtest.play_context import PlayContext
 from otterreach.runtime.codes import Failure
 from otterreach.sidecar import http1
 
--- a/otterreach/soak/model_servers.py
+++ b/otterreach/soak/model_servers.py
@@ -10,7 +10,7 @@
 from otterreach.cli.caller import Caller
 from otterreach.loadtest.background_tasks import BackgroundTasks
 from otterreach.loadtest.plan import Plan
-from otterreach.loadtest.scene import Entry, PlayContext
+from otterreach.loadtest.play_context import Entry, PlayContext
 from otterreach.loadtest.server import Server
 from otterreach.loadtest.servers import make_server
 from otterreach.soak.setup import SOAK_BOUNDS
--- a/tests/loadtest/test_checks.py
+++ b/tests/loadtest/test_checks.py
@@ -31,7 +31,7 @@
 from otterreach.loadtest.plain_server import PlainServer
 from otterreach.loadtest.plan import PLANS, Plan, configuration, load, read
 from otterreach.loadtest.play import PlayResult
-from otterreach.loadtest.scene import Entry, Front, PlayContext
+from otterreach.loadtest.play_context import Entry, Front, PlayContext
 from otterreach.loadtest.trainer import BatchJob, TrainerRunner
 from otterreach.runtime import settings as settings_module
 from otterreach.runtime.codes import Code, Failure
