--- a/otterreach/balancer/simhost.py
+++ b/otterreach/balancer/simhost.py
@@ -9,6 +9,7 @@
 import otterreach.balancer.interface as api
 import otterreach.balancer.wire as wire
 from otterreach.balancer.logic import Balancer
+from otterreach.balancer.settings_reader import SettingsError
 
 
 class Host:
@@ -53,7 +54,7 @@
         if isinstance(event, wire.RosterRef):
             event = self._resolve(event)
         elif isinstance(event, api.Request) and event.class_index >= len(balancer.settings.classes):
-            raise api.SettingsError(f"request class {event.class_index} is not in the settings")
+            raise SettingsError(f"request class {event.class_index} is not in the settings")
         return balancer.handle(now_ns, event)
 
     def _resolve(self, ref: wire.RosterRef) -> api.Roster:
@@ -69,9 +70,9 @@
     try:
         raw = json.loads(params)
     except ValueError as error:
-        raise api.SettingsError(f"settings are not valid JSON: {error}") from None
+        raise SettingsError(f"settings are not valid JSON: {error}") from None
     if not isinstance(raw, dict):
-        raise api.SettingsError(f"settings: expected a JSON object, got {type(raw).__name__}")
+        raise SettingsError(f"settings: expected a JSON object, got {type(raw).__name__}")
     return raw
 
 
--- a/otterreach/cli/local_commands.py
+++ b/otterreach/cli/local_commands.py
@@ -37,7 +37,7 @@
 @app.command
 def check_settings(file: Path) -> int:
     """Check whether a process can start with a settings file."""
-    from otterreach.balancer.interface import SettingsError
+    from otterreach.balancer.settings_reader import SettingsError
     from otterreach.runtime.settings import load
 
     try:
--- a/otterreach/runtime/settings.py
+++ b/otterreach/runtime/settings.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 from typing import Any
 
-from otterreach.balancer.interface import Reader, SettingsError
+from otterreach.balancer.settings_reader import Reader, SettingsError
 
 SETTINGS_FILE_VARIABLE = "OTTERREACH_NODE_FILE"
 
--- a/tests/balancer/test_settings_ends.py
+++ b/tests/balancer/test_settings_ends.py
@@ -8,13 +8,14 @@
 from hypothesis import HealthCheck, given, settings, strategies
 
 from otterreach.balancer import interface as api
+from otterreach.balancer.settings_reader import MAX_FACTOR, SettingsError
 from tests.balancer.support import MS, SECOND, Sidecar, listed, raw_settings
 from tests.balancer.test_rules import World
 
 HUGE = 10**18  # nanoseconds: some 30 years
 TIMES_NS = [0, 1, MS, SECOND, HUGE]
 POSITIVE_TIMES_NS = TIMES_NS[1:]
-FACTORS = [0.0, 1e-300, 0.5, 1.0, 2.5, api.MAX_FACTOR]
+FACTORS = [0.0, 1e-300, 0.5, 1.0, 2.5, MAX_FACTOR]
 SHARES = [0.0, 1e-300, 0.5, 1.0]
 NUMBERS: dict[str, list[Any]] = {
     "allowed__attempts_cap": [1, 2, 1000],
@@ -78,11 +79,11 @@
 )
 def test_a_factor_out_of_its_range_is_refused_by_name(path: str, value: float) -> None:
     name = path.replace("__", ".").replace("_", "-")
-    with pytest.raises(api.SettingsError, match=f"{name}: .* is not between 0 and"):
+    with pytest.raises(SettingsError, match=f"{name}: .* is not between 0 and"):
         api.Settings.from_dict(raw_settings(**{path: value}))
 
 
 @pytest.mark.parametrize("key", ["drain_grace_ns", "answer_slack_ns", "order_settle_ns", "ask_within_ns"])
 def test_a_duration_below_zero_is_refused_by_name(key: str) -> None:
-    with pytest.raises(api.SettingsError, match=f"guarantees.{key.replace('_', '-')}: -1 is below 0"):
+    with pytest.raises(SettingsError, match=f"guarantees.{key.replace('_', '-')}: -1 is below 0"):
         api.Settings.from_dict(raw_settings(**{f"guarantees__{key}": -1}))
--- a/tests/runtime/test_settings.py
+++ b/tests/runtime/test_settings.py
@@ -10,7 +10,7 @@
 from typing import Any
 from unittest import mock
 
-from otterreach.balancer.interface import SettingsError
+from otterreach.balancer.settings_reader import SettingsError
 from otterreach.runtime import settings
 
 TEXT = """\
