--- a/otterreach/proxy/fleet.py
+++ b/otterreach/proxy/fleet.py
@@ -12,14 +12,8 @@
 from random import Random
 
 from otterreach.proxy.draw import Draw, Estimate
-from otterreach.proxy.exchange import (
-    DEFAULT_OPTIONS,
-    Exchange,
-    ExchangeOptions,
-    Execution,
-    Outbound,
-    Outcome,
-)
+from otterreach.proxy.exchange import DEFAULT_OPTIONS, Exchange, ExchangeOptions, Execution, Outcome
+from otterreach.proxy.outbound import Outbound
 from otterreach.proxy.pools import Opener, Pool
 from otterreach.runtime import configuration as configuration_module
 from otterreach.runtime.configuration import Configuration, ConfigurationRecord, Route
--- a/otterreach/proxy/item_run.py
+++ b/otterreach/proxy/item_run.py
@@ -10,8 +10,9 @@
 
 from otterreach.jobstore.messages import AssignItems, WorkItem
 from otterreach.proxy.events import EventReader, Transcript, versions_of
-from otterreach.proxy.exchange import HOP_BY_HOP_HEADERS, PROXY_HEADERS, Exchange, Headers, Outbound
+from otterreach.proxy.exchange import Exchange
 from otterreach.proxy.fleet import Server
+from otterreach.proxy.outbound import HOP_BY_HOP_HEADERS, PROXY_HEADERS, Headers, Outbound
 from otterreach.runtime.configuration import Route
 
 MAX_WAIT_MARGIN_S = 0.5  # added to maxWaitS, for clock differences and message delays
--- a/otterreach/proxy/requests.py
+++ b/otterreach/proxy/requests.py
@@ -12,17 +12,9 @@
 from http import HTTPStatus
 
 from otterreach.proxy.client_connection import Client
-from otterreach.proxy.exchange import (
-    HOP_BY_HOP_HEADERS,
-    PROXY_HEADERS,
-    ExchangeOptions,
-    Execution,
-    Headers,
-    Outbound,
-    Outcome,
-    end_to_end_headers,
-)
+from otterreach.proxy.exchange import ExchangeOptions, Execution, Outcome
 from otterreach.proxy.fleet import Fleet, Server
+from otterreach.proxy.outbound import HOP_BY_HOP_HEADERS, PROXY_HEADERS, Headers, Outbound, end_to_end_headers
 from otterreach.runtime.configuration import Route
 from otterreach.sidecar import http1
 
--- a/otterreach/proxy/reward_calls.py
+++ b/otterreach/proxy/reward_calls.py
@@ -7,9 +7,10 @@
 from http import HTTPStatus
 
 from otterreach.proxy.directory import JobStoreDirectory
-from otterreach.proxy.exchange import Execution, Outbound, Outcome
+from otterreach.proxy.exchange import Execution, Outcome
 from otterreach.proxy.fleet import Fleet, Server
 from otterreach.proxy.item_run import ItemRun, Reason
+from otterreach.proxy.outbound import Outbound
 from otterreach.proxy.send_permission import SendPermission
 from otterreach.runtime.configuration import Route
 
--- a/otterreach/proxy/streams.py
+++ b/otterreach/proxy/streams.py
@@ -6,8 +6,9 @@
 
 from otterreach.proxy.client_connection import Client
 from otterreach.proxy.events import EventReader
-from otterreach.proxy.exchange import Exchange, ExchangeOptions, Execution, Headers, Outcome
+from otterreach.proxy.exchange import Exchange, ExchangeOptions, Execution, Outcome
 from otterreach.proxy.fleet import Server
+from otterreach.proxy.outbound import Headers
 from otterreach.proxy.requests import ClientRequest, Requests, parse_number, response_headers
 from otterreach.runtime.configuration import Route
 from otterreach.sidecar import http1
--- a/otterreach/proxy/text_generation.py
+++ b/otterreach/proxy/text_generation.py
@@ -5,11 +5,12 @@
 import asyncio
 from http import HTTPStatus
 
-from otterreach.proxy.exchange import Exchange, ExchangeOptions, Execution, Headers, Outcome
+from otterreach.proxy.exchange import Exchange, ExchangeOptions, Execution, Outcome
 from otterreach.proxy.fleet import Fleet, Server
 from otterreach.proxy.item_placement import ItemPlacer
 from otterreach.proxy.item_queue import ItemQueue
 from otterreach.proxy.item_run import Abandoned, ItemAttempt, ItemRun, Placement, Reason, StopReason
+from otterreach.proxy.outbound import Headers
 from otterreach.proxy.send_permission import SendPermission
 from otterreach.runtime.configuration import Route
 
--- a/tests/proxy/test_sockets.py
+++ b/tests/proxy/test_sockets.py
@@ -11,8 +11,9 @@
 from unittest import mock
 
 from otterreach.proxy.client_connection import Client
-from otterreach.proxy.exchange import Exchange, Execution, Outbound, Outcome
+from otterreach.proxy.exchange import Exchange, Execution, Outcome
 from otterreach.proxy.ingress import Ingress
+from otterreach.proxy.outbound import Outbound
 from otterreach.proxy.pools import Pool
 from otterreach.runtime.configuration import Caps
 from tests.late_reader import LateReader, read_to_the_end
