Load test: only whole answers are repeated

An answer that had begun when the fault `repeat` set in was repeated from there on, so its copy was bytes of no answer: another fault than the one that was meant. Whether an answer is repeated is decided when its request begins now.

Three faults that last for a time share the code that ends them.

--- a/otterreach/loadtest/connection.py
+++ b/otterreach/loadtest/connection.py
@@ -41,8 +41,8 @@
         self.request: http1.Request | None = None
         self.on_dropped: Callable[[], None] | None = None  # called on a close before the response is complete
         self._queue: deque[http1.Request] = deque()
-        self._answer = bytearray()  # the bytes of the current answer
         self._late_copy = b""  # of the previous answer; sent in the place of the next one
+        self._copy: bytearray | None = None  # of the current answer, if it is to be repeated
         self._parser = http1.RequestParser(bounds=http1.Bounds(body=MAX_BODY_BYTES, head=MAX_HEAD_BYTES))
         self._transport: asyncio.Transport | None = None
 
@@ -79,8 +79,14 @@
         if self.request is None and self._queue:
             self.request = self._queue.popleft()
             self._send_late_copy()
+            self._copy = bytearray() if self._is_repeated() else None
             self.server.on_request(self, self.request)
 
+    def _is_repeated(self) -> bool:
+        """Decide whether the answer to the current request is repeated late."""
+        share = self.server.repeat_share
+        return share > 0 and self.server.context.random.random() < share
+
     def _send_late_copy(self) -> None:
         if self._late_copy and self._transport and not self._transport.is_closing():
             self.server.context.counts["late copies"] += 1
@@ -110,8 +116,8 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n"
 
     def _write(self, data: bytes) -> None:
-        if self.server.repeat_share:
-            self._answer += data
+        if self._copy is not None:
+            self._copy += data
         if self._transport and not self._transport.is_closing():
             self._transport.write(data)
 
@@ -135,9 +141,7 @@
         self._done()
 
     def _done(self) -> None:
-        if self._answer and self.server.context.random.random() < self.server.repeat_share:
-            self._late_copy = bytes(self._answer)
-        self._answer.clear()
+        self._late_copy = bytes(self._copy or b"")
         self.request = None
         self.on_dropped = None
         self._next()
--- a/otterreach/loadtest/engine_server.py
+++ b/otterreach/loadtest/engine_server.py
@@ -36,8 +36,8 @@
         self._last = 0.0
         self._runs = 0
 
-    def _set_speed(self, x: float) -> None:
-        self.slow = self.engine.slow = x
+    def _set_speed(self, factor: float) -> None:
+        self.slow = self.engine.slow = factor
 
     def load_counts(self) -> tuple[int, int]:
         """Return the numbers of running and waiting runs."""
--- a/otterreach/loadtest/server.py
+++ b/otterreach/loadtest/server.py
@@ -5,8 +5,9 @@
 import asyncio
 import json
 import zlib
+from collections.abc import Callable
 from http import HTTPStatus
-from typing import Any
+from typing import Any, TypeVar
 
 from otterreach.loadtest.connection import Connection, HeaderPairs
 from otterreach.loadtest.ground_truth import RunRecord, SealRecord
@@ -20,6 +21,14 @@
 HEARTBEAT_WITHIN_S = 1.5
 SLACK_S = 0.1  # tolerance for delays of this process's event loop
 NOT_RUN = (("Not-Run", "1"),)
+T = TypeVar("T")
+
+
+async def _set_for(seconds: float, set_value: Callable[[T], None], value: T, normal: T) -> None:
+    """Set a value, and set it back to normal after a time."""
+    set_value(value)
+    await asyncio.sleep(seconds)
+    set_value(normal)
 
 
 class Server:
@@ -93,29 +102,23 @@
 
     async def go_dark(self, for_s: float) -> None:
         """Stop responding for `for_s`: connections stay open, but nothing is read, answered or registered."""
-        self._set_dark(True)
-        await asyncio.sleep(for_s)
-        self._set_dark(False)
+        await _set_for(for_s, self._set_dark, True, False)
 
     def _set_dark(self, on: bool) -> None:
         self.dark = on
         for connection in self.connections:
             connection.pause(on)
 
-    async def slow_down(self, x: float, for_s: float) -> None:
-        """Multiply the work time by `x` for `for_s`."""
-        self._set_speed(x)
-        await asyncio.sleep(for_s)
-        self._set_speed(1.0)
+    async def slow_down(self, factor: float, for_s: float) -> None:
+        """Multiply the work time by a factor for `for_s`."""
+        await _set_for(for_s, self._set_speed, factor, 1.0)
 
-    def _set_speed(self, x: float) -> None:
-        self.slow = x
+    def _set_speed(self, factor: float) -> None:
+        self.slow = factor
 
     async def repeat_answers(self, share: float, for_s: float) -> None:
         """Repeat this share of the answers for `for_s`: each copy is sent when the next request has arrived."""
-        self._set_repeat_share(share)
-        await asyncio.sleep(for_s)
-        self._set_repeat_share(0.0)
+        await _set_for(for_s, self._set_repeat_share, share, 0.0)
 
     def _set_repeat_share(self, share: float) -> None:
         self.repeat_share = share
--- a/tests/loadtest/test_late_copies.py
+++ b/tests/loadtest/test_late_copies.py
@@ -66,3 +66,25 @@
 
 def test_without_the_trouble_each_answer_comes_once() -> None:
     assert answers_to(0.0, ["/a", "/stream", "/a"]) == [b"q0", b"q1", b"q2"]
+
+
+def test_an_answer_that_began_before_the_trouble_is_not_repeated() -> None:
+    """A copy of its second half would be bytes of no answer."""
+
+    async def main() -> bytes:
+        handler = Handler(0.0)
+        client = Received()
+        connection = Connection(handler)
+        transport, _ = connect(client, connection)
+        handler.on_request = lambda *_: connection.begin_stream(())  # type: ignore[method-assign]
+        transport.write(b"POST /stream HTTP/1.1\r\nRequest-Id: q0\r\nContent-Length: 0\r\n\r\n")
+        await asyncio.sleep(0.01)
+        handler.repeat_share = 1.0
+        connection.end_stream()
+        client.data = b""
+        transport.write(b"POST /stream HTTP/1.1\r\nRequest-Id: q1\r\nContent-Length: 0\r\n\r\n")
+        await asyncio.sleep(0.01)
+        return client.data
+
+    assert b"q0" not in run(main, MemoryLoop())
+    assert run(main, MemoryLoop()).startswith(b"0\r\n\r\nHTTP/1.1 200")
