Soak: late answers are checked; a failure of its own is told

Traffic keeps its tasks in BackgroundTasks, as the rest does, and the statuses that promise are those of the load test's callers. Faults of servers have that name.

--- a/otterreach/soak/model_servers.py
+++ b/otterreach/soak/model_servers.py
@@ -1,4 +1,4 @@
-"""Simulated model servers of a soak, and the troubles that they are in."""
+"""Simulated model servers of a soak, and the faults injected into them."""
 
 from __future__ import annotations
 
@@ -16,15 +16,15 @@
 from otterreach.soak.setup import SOAK_BOUNDS
 
 SERVERS_OCTET = 100  # third octet of the servers' addresses
-MEAN_PAUSE_S = 0.7  # between two troubles
-TROUBLE_S = (0.3, 1.0, 4.0)
+MEAN_PAUSE_S = 0.7  # between two faults
+FAULT_DURATIONS_S = (0.3, 1.0, 4.0)
 REPEAT_SHARE = 0.3  # of the answers of a server that repeats them late
 SLOW_FACTOR = 8.0
 ADDRESS_POLL_S = 0.5  # replaced controllers have other addresses
 
 
-class Trouble(Enum):
-    """Trouble of a server; the value is its relative frequency."""
+class ServerFault(Enum):
+    """Kind of fault of a server; the value is its relative frequency."""
 
     REPEAT = 6.0
     CRASH = 2.0
@@ -36,7 +36,14 @@
 class ModelServers:
     """The servers of all services of a plan, which register with the controllers of the soak."""
 
-    def __init__(self, plan: Plan, network_prefix: str, controllers: Callable[[], list[str]], random: Random) -> None:
+    def __init__(
+        self,
+        plan: Plan,
+        network_prefix: str,
+        controllers: Callable[[], list[str]],
+        random: Random,
+        tasks: BackgroundTasks,
+    ) -> None:
         """:param controllers: returns the `ctl` addresses of the current controllers"""
         loop = asyncio.get_running_loop()
         self.controllers = controllers
@@ -49,45 +56,41 @@
             for spec in plan.service
             for n in range(spec.servers)
         ]
-        self.troubles = 0
-        self.failures: list[str] = []  # of the soak test itself
+        self.fault_count = 0
         self._restarting: set[Server] = set()
-        self._tasks = BackgroundTasks(
-            lambda error: self.failures.append(f"model server failed in the soak test itself: {error!r}")
-        )
+        self._tasks = tasks
 
     async def run(self) -> None:
-        """Start the servers, and trouble them until cancelled."""
+        """Start the servers, and inject faults until cancelled."""
         for server in self.servers:
             await server.start()
         self._tasks.start(self._follow_controllers())
         while True:
             await asyncio.sleep(self.random.expovariate(1.0 / MEAN_PAUSE_S))
-            trouble = self.random.choices(list(Trouble), [trouble.value for trouble in Trouble])[0]
-            self._start(trouble, self.random.choice(self.servers), self.random.choice(TROUBLE_S))
+            fault = self.random.choices(list(ServerFault), [fault.value for fault in ServerFault])[0]
+            self._start(fault, self.random.choice(self.servers), self.random.choice(FAULT_DURATIONS_S))
 
     def stop(self) -> None:
-        """Stop all servers and troubles."""
-        self._tasks.cancel()
+        """Stop all servers."""
         for server in self.servers:
             if server.state != "down":
                 server.stop()
 
-    def _start(self, trouble: Trouble, server: Server, seconds: float) -> None:
+    def _start(self, fault: ServerFault, server: Server, seconds: float) -> None:
         if server in self._restarting:
             return
-        self.troubles += 1
-        self._tasks.start(self._coroutine(trouble, server, seconds))
+        self.fault_count += 1
+        self._tasks.start(self._coroutine(fault, server, seconds))
 
-    def _coroutine(self, trouble: Trouble, server: Server, seconds: float) -> Coroutine[object, object, None]:
-        if trouble is Trouble.REPEAT:
+    def _coroutine(self, fault: ServerFault, server: Server, seconds: float) -> Coroutine[object, object, None]:
+        if fault is ServerFault.REPEAT:
             return server.repeat_answers(REPEAT_SHARE, seconds)
-        if trouble is Trouble.SLOW:
+        if fault is ServerFault.SLOW:
             return server.slow_down(SLOW_FACTOR, seconds)
-        if trouble is Trouble.DARK:
+        if fault is ServerFault.DARK:
             return server.go_dark(seconds)
         self._restarting.add(server)
-        return self._restart(server, seconds, graceful=trouble is Trouble.DRAIN)
+        return self._restart(server, seconds, graceful=fault is ServerFault.DRAIN)
 
     async def _restart(self, server: Server, seconds: float, graceful: bool) -> None:
         try:
--- a/otterreach/soak/requests.py
+++ b/otterreach/soak/requests.py
@@ -7,13 +7,13 @@
 from collections.abc import Callable
 from random import Random
 
+from otterreach.loadtest.callers import NOT_RUN_STATUSES
 from otterreach.loadtest.ground_truth import GroundTruth
 from otterreach.loadtest.plan import HOST, Route
 from otterreach.loadtest.verify import check_mutating, check_success
 from otterreach.sidecar import http1
 from otterreach.soak.wire import PersistentConnection
 
-NOT_RUN_STATUSES = (408, 421, 429, 503)  # guarantee that the request has not run and never will
 DEADLINES_MS = (100, 400, 1500)
 GIVE_UP_MARGIN_S = 0.5  # clients wait this much longer than they announce
 MAX_BODY_BYTES = 2000
@@ -25,7 +25,7 @@
     """What clients sent and received, checked against what servers ran."""
 
     def __init__(self, ground_truth: GroundTruth) -> None:
-        self.answers: Counter[str] = Counter()  # by status; "none" without an answer
+        self.answers: Counter[str] = Counter()  # by status; "none" without an answer in time
         self._ground_truth = ground_truth
         self._mutating: dict[str, bool] = {}  # by id: whether it was refused
         self._faults: list[str] = []
@@ -38,8 +38,11 @@
     def answered(self, ident: str, route: Route, body: bytes, answer: http1.Response | None) -> None:
         """Record the answer to a request, or that there was none."""
         self.answers[str(answer.status) if answer else "none"] += 1
-        if answer is None:
-            return
+        if answer is not None:
+            self.check(ident, route, body, answer)
+
+    def check(self, ident: str, route: Route, body: bytes, answer: http1.Response) -> None:
+        """Check an answer, which may have come after its client gave up waiting."""
         if answer.status in NOT_RUN_STATUSES and route.kind == "mutating":
             self._mutating[ident] = True
         if 200 <= answer.status < 300 and (fault := check_success(ident, body, answer, self._ground_truth)):
@@ -119,5 +122,11 @@
             self.log.answered(ident, route, body, exchange.result())
             return
         self.log.answered(ident, route, body, None)
+
+        def check_late_answer(ended: asyncio.Task[http1.Response | None]) -> None:
+            self._abandoned.discard(ended)
+            if not ended.cancelled() and (answer := ended.result()):
+                self.log.check(ident, route, body, answer)
+
         self._abandoned.add(exchange)
-        exchange.add_done_callback(self._abandoned.discard)
+        exchange.add_done_callback(check_late_answer)
--- a/otterreach/soak/result.py
+++ b/otterreach/soak/result.py
@@ -28,7 +28,7 @@
     host_stalls: list[HostStall] = field(default_factory=list)
     answers: dict[str, int] = field(default_factory=dict)  # to requests through the proxies, by status
     late_copies: int = 0  # of answers, which servers sent in place of the next ones
-    server_troubles: int = 0
+    server_faults: int = 0
     processes: int = 0
     peak_mb: float = 0.0  # sum over machines of the peak memory of their processes
     served_after_s: float = 0.0  # from the end of the disruptions until a call was served
@@ -72,7 +72,7 @@
         if not self.answers:
             return ""
         shown = " ".join(f"{status}:{count}" for status, count in sorted(self.answers.items()))
-        return f"requests {shown}, {self.late_copies} late copies, {self.server_troubles} troubles of servers, "
+        return f"requests {shown}, {self.late_copies} late copies, {self.server_faults} faults of servers, "
 
     def details(self) -> str:
         """Return the first violations, one per line."""
--- a/otterreach/soak/run.py
+++ b/otterreach/soak/run.py
@@ -130,7 +130,7 @@
             self.result.violations += await self.traffic.finish()
             self.result.answers = dict(self.traffic.log.answers)
             self.result.late_copies = self.traffic.late_copies
-            self.result.server_troubles = self.traffic.servers.troubles
+            self.result.server_faults = self.traffic.servers.fault_count
         await self.population.audit()
         await self._check_configuration()
         bounds = Bounds(HISTORY_S, FREE_S)
--- a/otterreach/soak/traffic.py
+++ b/otterreach/soak/traffic.py
@@ -6,13 +6,13 @@
 from collections.abc import Callable
 from random import Random
 
+from otterreach.loadtest.background_tasks import BackgroundTasks
 from otterreach.soak.fleet import Fleet
 from otterreach.soak.model_servers import ModelServers
-from otterreach.soak.requests import DEADLINES_MS, GIVE_UP_MARGIN_S, RequestClient, RequestLog
+from otterreach.soak.requests import DEADLINES_MS, RequestClient, RequestLog
 
 TRAFFIC_SEED = 0x7AFF1C  # keeps the draws of the traffic apart from those of disruptions
-LAST_RUNS_S = max(DEADLINES_MS) / 1000 + GIVE_UP_MARGIN_S  # no request runs longer than this after its sending
-SETTLE_S = 0.5
+LAST_RUNS_S = max(DEADLINES_MS) / 1000 + 1.0  # no request begins to run later than this after its sending
 
 
 class Traffic:
@@ -21,38 +21,35 @@
     def __init__(self, fleet: Fleet, clients: int, seed: int, is_stopping: Callable[[], bool]) -> None:
         """:param clients: number of clients"""
         random = Random(seed ^ TRAFFIC_SEED)
-        plan = fleet.plan
+        self.failures: list[str] = []  # of the soak test itself
+        self._tasks = BackgroundTasks(
+            lambda error: self.failures.append(f"traffic failed in the soak test itself: {error!r}")
+        )
         servers_random = Random(random.getrandbits(64))
-        self.servers = ModelServers(plan, fleet.network_prefix, fleet.addresses, servers_random)
+        self.servers = ModelServers(fleet.plan, fleet.network_prefix, fleet.addresses, servers_random, self._tasks)
         self.log = RequestLog(self.servers.context.ground_truth)
         self.clients = [
-            RequestClient(fleet.front_addresses, plan.route, self.log, Random(random.getrandbits(64)))
+            RequestClient(fleet.front_addresses, fleet.plan.route, self.log, Random(random.getrandbits(64)))
             for _ in range(clients)
         ]
         self._is_stopping = is_stopping
-        self._tasks: list[asyncio.Task[None]] = []
+        self._running: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
         """Start the servers and the clients."""
-        self._tasks = [asyncio.ensure_future(self.servers.run())]
-        self._tasks += [asyncio.ensure_future(client.run(self._is_stopping)) for client in self.clients]
+        self._tasks.start(self.servers.run())
+        self._running = [self._tasks.start(client.run(self._is_stopping)) for client in self.clients]
 
     async def finish(self) -> list[str]:
         """Wait for the last requests of the clients, which are stopping, and return the broken rules."""
-        servers, *clients = self._tasks
-        if clients:
-            await asyncio.wait(clients)
-        await asyncio.sleep(LAST_RUNS_S + SETTLE_S)
-        servers.cancel()
+        await asyncio.wait(self._running)
+        await asyncio.sleep(LAST_RUNS_S)
         self.close()
-        failed = [task.exception() for task in clients if not task.cancelled() and task.exception()]
-        errors = [f"client failed in the soak test itself: {error!r}" for error in failed]
-        return [*self.log.violations(), *self.servers.failures, *errors]
+        return [*self.log.violations(), *self.failures]
 
     def close(self) -> None:
         """Stop everything."""
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
         for client in self.clients:
             client.close()
         self.servers.stop()
