--- a/otterreach/soak/requests.py
+++ b/otterreach/soak/requests.py
@@ -124,6 +124,7 @@
         self.log.answered(ident, route, body, None)
 
         def check_late_answer(ended: asyncio.Task[http1.Response | None]) -> None:
+            """Check the answer that comes after its client gave up."""
             self._abandoned.discard(ended)
             if not ended.cancelled() and (answer := ended.result()):
                 self.log.check(ident, route, body, answer)
